--- /dev/null
+++ b/internal/emulator/platform/server.go
@@ -0,0 +1,199 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// maxWait bounds a waiting watch.
+const maxWait = 60 * time.Second
+
+// Calls counts what the platform would charge for.
+type Calls struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Lists   int64 `json:"lists"`
+	Watches int64 `json:"watches"`
+	Waiting int64 `json:"waiting"`
+}
+
+// Server serves a Memory over HTTP with faults.
+type Server struct {
+	Memory *Memory
+
+	faults                                 switchboard
+	reads, writes, lists, watches, waiting atomic.Int64
+}
+
+// NewServer returns a server of an empty store.
+func NewServer() *Server { return &Server{Memory: NewMemory()} }
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) { s.faults.set(f) }
+
+// Calls returns the calls counted since the start.
+func (s *Server) Calls() Calls {
+	return Calls{
+		Reads: s.reads.Load(), Writes: s.writes.Load(), Lists: s.lists.Load(),
+		Watches: s.watches.Load(), Waiting: s.waiting.Load(),
+	}
+}
+
+// Routes returns the HTTP interface of the platform and, below /emulator, the
+// emulator's own controls.
+func (s *Server) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/object", Handler: s.faulty(s.get)},
+		{Method: http.MethodPut, Path: "/object", Handler: s.faulty(s.put)},
+		{Method: http.MethodGet, Path: "/objects", Handler: s.faulty(s.list)},
+		{Method: http.MethodGet, Path: "/watch", Handler: s.faulty(s.watch)},
+		{Method: http.MethodPut, Path: "/emulator/faults", Handler: s.putFaults},
+		{Method: http.MethodGet, Path: "/emulator/calls", Handler: s.getCalls},
+	}
+}
+
+// faulty applies delay and outage before the call takes effect.
+func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.faults.get()
+		if f.Delay > 0 && !sleep(r.Context(), f.Delay) {
+			return
+		}
+		if f.Outage {
+			http.Error(w, "platform outage", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.reads.Add(1)
+	object, err := s.Memory.Get(r.Context(), proxy.Key(r.URL.Query().Get("key")))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, object)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	s.writes.Add(1)
+	query := r.URL.Query()
+	expected, err := strconv.ParseUint(query.Get("expected"), 10, 64)
+	if err != nil {
+		http.Error(w, "expected: want a version", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, proxy.MaxObjectSize+1))
+	if err != nil {
+		writeError(w, proxy.ErrTooLarge)
+		return
+	}
+	key := proxy.Key(query.Get("key"))
+	version, err := s.Memory.Put(r.Context(), key, value, proxy.Version(expected))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if s.faults.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, proxy.Object{Key: key, Version: version})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.lists.Add(1)
+	objects, err := s.Memory.List(r.Context(), proxy.Key(r.URL.Query().Get("prefix")))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, objects)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	s.watches.Add(1)
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a version", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || wait <= 0 || wait > maxWait {
+		http.Error(w, "wait: want a duration of at most "+maxWait.String(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	objects, err := s.Memory.Watch(ctx, proxy.Key(query.Get("prefix")), proxy.Version(after))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if s.faults.get().Outage {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, objects)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := f.Validate(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, f)
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Calls())
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The client has gone if this fails; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, proxy.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, proxy.ErrConflict):
+		status = http.StatusConflict
+	case errors.Is(err, proxy.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, err.Error(), status)
+}
+
+// sleep waits for d and reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
