--- /dev/null
+++ b/internal/daemon/driver.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/rs/zerolog"
+)
+
+// Sizes of a Driver.
+const (
+	driverWorkers = 8
+	// driverBacklog bounds the effects that wait for a worker. Beyond it
+	// effects are dropped, as if the call had failed; modules repeat what
+	// matters at their next tick.
+	driverBacklog = 1024
+	watchPause    = 500 * time.Millisecond
+)
+
+// Driver carries out the effects of decision modules on a pool of workers and
+// returns the results to the module as events. Exported fields are set before
+// Run.
+type Driver struct {
+	Clock  proxy.Clock
+	Store  proxy.Store
+	Random *rand.Rand
+	// Send delivers a message to another host.
+	Send func(ctx context.Context, to proxy.HostID, message proxy.Message) error
+	// Own carries out the effects of a module's own package and reports
+	// whether it knew the effect.
+	Own func(ctx context.Context, effect proxy.Effect) []proxy.Effect
+	Log zerolog.Logger
+
+	modules []tended
+	tasks   chan task
+	mu      sync.Mutex
+	watches map[proxy.Key]context.CancelFunc
+	running sync.WaitGroup
+}
+
+type tended struct {
+	module   proxy.Module
+	interval time.Duration
+}
+
+type task struct {
+	module proxy.Module
+	effect proxy.Effect
+}
+
+// Add registers a module that gets a tick at each interval. It is called before
+// Run.
+func (d *Driver) Add(module proxy.Module, interval time.Duration) {
+	d.modules = append(d.modules, tended{module: module, interval: interval})
+}
+
+// Run drives the modules until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	d.tasks = make(chan task, driverBacklog)
+	d.watches = make(map[proxy.Key]context.CancelFunc)
+	for range driverWorkers {
+		d.running.Add(1)
+		go d.work(ctx)
+	}
+	for _, t := range d.modules {
+		d.running.Add(1)
+		go d.tick(ctx, t)
+	}
+	<-ctx.Done()
+	d.running.Wait()
+}
+
+// Post hands an event to every module.
+func (d *Driver) Post(event proxy.Event) {
+	for _, t := range d.modules {
+		d.handle(t.module, event)
+	}
+}
+
+func (d *Driver) handle(module proxy.Module, event proxy.Event) {
+	for _, effect := range module.Handle(d.Clock.Now(), event) {
+		select {
+		case d.tasks <- task{module: module, effect: effect}:
+		default:
+			d.Log.Warn().Type("effect", effect).Msg("effect dropped: too many wait for a worker")
+		}
+	}
+}
+
+func (d *Driver) tick(ctx context.Context, t tended) {
+	defer d.running.Done()
+	ticker := time.NewTicker(t.interval)
+	defer ticker.Stop()
+	for {
+		d.handle(t.module, proxy.Tick{Random: d.random()})
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Driver) random() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Random.Uint64()
+}
+
+func (d *Driver) work(ctx context.Context) {
+	defer d.running.Done()
+	for {
+		select {
+		case t := <-d.tasks:
+			d.carry(ctx, t)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Driver) carry(ctx context.Context, t task) {
+	sent := d.Clock.Now()
+	switch e := t.effect.(type) {
+	case proxy.Fetch:
+		object, err := d.Store.Get(ctx, e.Key)
+		object.Key = e.Key
+		d.handle(t.module, proxy.Fetched{Object: object, Sent: sent, Err: err})
+	case proxy.Put:
+		version, err := d.Store.Put(ctx, e.Key, e.Value, e.Expected)
+		d.handle(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
+	case proxy.Watch:
+		d.watch(ctx, t.module, e)
+	case proxy.Send:
+		if err := d.Send(ctx, e.To, e.Message); err != nil {
+			d.Log.Debug().Err(err).Str("peer", string(e.To)).Msg("control message not delivered")
+		}
+	default:
+		for _, effect := range d.Own(ctx, e) {
+			d.carry(ctx, task{module: t.module, effect: effect})
+		}
+	}
+}
+
+// watch starts or stops following a prefix.
+func (d *Driver) watch(ctx context.Context, module proxy.Module, e proxy.Watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stop, following := d.watches[e.Prefix]
+	if e.Stop {
+		if following {
+			stop()
+			delete(d.watches, e.Prefix)
+		}
+		return
+	}
+	if following {
+		return
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	d.watches[e.Prefix] = cancel
+	d.running.Add(1)
+	go d.follow(watchCtx, module, e.Prefix)
+}
+
+// follow repeats a watch and hands each changed object to the module.
+func (d *Driver) follow(ctx context.Context, module proxy.Module, prefix proxy.Key) {
+	defer d.running.Done()
+	var after proxy.Version
+	for ctx.Err() == nil {
+		sent := d.Clock.Now()
+		objects, err := d.Store.Watch(ctx, prefix, after)
+		if err != nil {
+			d.Log.Debug().Err(err).Str("prefix", string(prefix)).Msg("watch failed")
+			pause(ctx, watchPause)
+			continue
+		}
+		for _, object := range objects {
+			after = max(after, object.Version)
+			d.handle(module, proxy.Fetched{Object: object, Sent: sent})
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
