Decide membership by probes between hosts

Each host pings one peer a period, asks others to ping a silent one, and spreads changes on its messages, so that its traffic does not grow with the fleet.

--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -129,6 +129,9 @@
 		object, err := d.Store.Get(ctx, e.Key)
 		object.Key = e.Key
 		d.handle(t.module, proxy.Fetched{Object: object, Sent: sent, Err: err})
+	case proxy.List:
+		objects, err := d.Store.List(ctx, e.Prefix)
+		d.handle(t.module, proxy.Listed{Prefix: e.Prefix, Objects: objects, Sent: sent, Err: err})
 	case proxy.Put:
 		version, err := d.Store.Put(ctx, e.Key, e.Value, e.Expected)
 		d.handle(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
--- a/pkg/proxy/ids.go
+++ b/pkg/proxy/ids.go
@@ -59,8 +59,8 @@
 	Version uint64
 	// Revision counts the accepted documents of one environment and stage.
 	Revision uint64
-	// Incarnation tells two lives of a host apart. It is a random number drawn
-	// at start and never zero.
+	// Incarnation tells two lives of a host apart. It is drawn at start, never
+	// zero, and the larger of two is the later life.
 	Incarnation uint64
 )
 
--- /dev/null
+++ b/pkg/proxy/member/message.go
@@ -0,0 +1,80 @@
+package member
+
+import (
+	"fmt"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Update is news of one host.
+type Update struct {
+	State  proxy.HostState `cbor:"1,keyasint"`
+	Status Status          `cbor:"2,keyasint"`
+	Round  uint64          `cbor:"3,keyasint"`
+}
+
+// Validate checks an update that came from another host.
+func (u *Update) Validate() error {
+	if u.Status < Alive || u.Status > Left {
+		return fmt.Errorf("update of %s: status %d is not defined", u.State.ID, u.Status)
+	}
+	if err := u.State.Validate(); err != nil {
+		return fmt.Errorf("update: %w", err)
+	}
+	return nil
+}
+
+// Ping asks a host for a sign of life and introduces the sender.
+type Ping struct {
+	Nonce   uint64          `cbor:"1,keyasint"`
+	From    proxy.HostState `cbor:"2,keyasint"`
+	Round   uint64          `cbor:"3,keyasint"`
+	Updates []Update        `cbor:"4,keyasint,omitempty"`
+}
+
+// Validate implements proxy.Message.
+func (p *Ping) Validate() error {
+	if err := p.From.Validate(); err != nil {
+		return fmt.Errorf("ping: %w", err)
+	}
+	return checkUpdates(p.Updates)
+}
+
+// Ack answers a Ping or, for a relayed probe, tells that the target answered.
+type Ack struct {
+	Nonce   uint64          `cbor:"1,keyasint"`
+	From    proxy.HostState `cbor:"2,keyasint"`
+	Round   uint64          `cbor:"3,keyasint"`
+	Updates []Update        `cbor:"4,keyasint,omitempty"`
+}
+
+// Validate implements proxy.Message.
+func (a *Ack) Validate() error {
+	if err := a.From.Validate(); err != nil {
+		return fmt.Errorf("ack: %w", err)
+	}
+	return checkUpdates(a.Updates)
+}
+
+// Relay asks a host to ping Target and to pass the answer on.
+type Relay struct {
+	Nonce  uint64       `cbor:"1,keyasint"`
+	Target proxy.HostID `cbor:"2,keyasint"`
+}
+
+// Validate implements proxy.Message.
+func (r *Relay) Validate() error {
+	return proxy.CheckID("relay target", string(r.Target))
+}
+
+func checkUpdates(updates []Update) error {
+	if len(updates) > maxUpdates {
+		return fmt.Errorf("%d updates in one message: at most %d are allowed", len(updates), maxUpdates)
+	}
+	for i := range updates {
+		if err := updates[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/pkg/proxy/module.go
+++ b/pkg/proxy/module.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
 
 // Module is a control decision: a state machine without input or output of its
 // own. Handle takes one event at an instant and returns the effects that the
@@ -9,13 +13,13 @@
 	Handle(now Instant, event Event) []Effect
 }
 
-// Event is what a module is told: Tick, Received, Fetched, Written or Changed,
+// Event is what a module is told: Tick, Received, Fetched, Listed or Written,
 // or a type of the module's own package.
-type Event interface{}
+type Event any
 
-// Effect is what a module asks for: Send, Fetch, Put or Watch, or a type of the
-// module's own package.
-type Effect interface{}
+// Effect is what a module asks for: Send, Fetch, List, Put or Watch, or a type
+// of the module's own package.
+type Effect any
 
 // Message is a control message between hosts. It checks itself when decoded.
 type Message interface {
@@ -38,6 +42,13 @@
 		Sent   Instant
 		Err    error
 	}
+	// Listed is the answer to a List.
+	Listed struct {
+		Prefix  Key
+		Objects []Object
+		Sent    Instant
+		Err     error
+	}
 	// Written is the answer to a Put. Sent is the instant at which the request
 	// was sent.
 	Written struct {
@@ -57,6 +68,8 @@
 	}
 	// Fetch asks to read an object.
 	Fetch struct{ Key Key }
+	// List asks to read all objects under a prefix.
+	List struct{ Prefix Key }
 	// Put asks to write an object conditionally.
 	Put struct {
 		Key      Key
@@ -70,6 +83,10 @@
 	}
 )
 
+// HostPrefix is the prefix of the platform's list of hosts. Each object is a
+// HostState in JSON.
+const HostPrefix Key = "hosts/"
+
 // HostState is a host as the platform's list or the hosts' own membership
 // shows it.
 type HostState struct {
@@ -80,6 +97,20 @@
 	Leaving     bool        `cbor:"5,keyasint" json:"leaving"`
 }
 
+// Validate checks a host that came from the platform or another host.
+func (h *HostState) Validate() error {
+	if err := CheckID("host", string(h.ID)); err != nil {
+		return fmt.Errorf("host state: %w", err)
+	}
+	if err := CheckID("zone", string(h.Zone)); err != nil {
+		return fmt.Errorf("host state of %s: %w", h.ID, err)
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return fmt.Errorf("host state of %s: address: %w", h.ID, err)
+	}
+	return nil
+}
+
 // ClockRateBound is the largest assumed difference between the rates of two
 // hosts' monotonic clocks, as a fraction.
 const ClockRateBound = 0.01
