--- a/cmd/emulated-platform/main.go
+++ b/cmd/emulated-platform/main.go
@@ -3,22 +3,27 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/jessevdk/go-flags"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest"
 )
 
 type options struct {
-	Listen string `long:"listen" default:"127.0.0.1:17000" description:"address of the HTTP listener, host:port"`
+	Listen string   `long:"listen" default:"127.0.0.1:17000" description:"address of the HTTP listener, host:port"`
+	Hosts  []string `long:"host" description:"host to put on the list of hosts, as NAME,ZONE,ADDRESS; may be repeated"`
 }
 
 func main() {
@@ -50,7 +55,11 @@
 	if err != nil {
 		return fmt.Errorf("build server: %w", err)
 	}
-	server.AddRoutes(platform.NewServer().Routes())
+	emulator := platform.NewServer()
+	if err := publish(emulator.Memory, o.Hosts); err != nil {
+		return fmt.Errorf("option --host: %w", err)
+	}
+	server.AddRoutes(emulator.Routes())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go server.Start()
@@ -59,3 +68,26 @@
 	server.Stop()
 	return nil
 }
+
+// publish puts hosts on the platform's list.
+func publish(store proxy.Store, hosts []string) error {
+	for _, text := range hosts {
+		fields := strings.Split(text, ",")
+		if len(fields) != 3 {
+			return fmt.Errorf("%q: want NAME,ZONE,ADDRESS", text)
+		}
+		state := proxy.HostState{ID: proxy.HostID(fields[0]), Zone: proxy.Zone(fields[1]), Address: fields[2]}
+		if err := state.Validate(); err != nil {
+			return fmt.Errorf("%q: %w", text, err)
+		}
+		value, err := json.Marshal(state)
+		if err != nil {
+			return fmt.Errorf("encode host: %w", err)
+		}
+		key := proxy.HostPrefix + proxy.Key(state.ID)
+		if _, err := store.Put(context.Background(), key, value, 0); err != nil {
+			return fmt.Errorf("put host %s: %w", state.ID, err)
+		}
+	}
+	return nil
+}
