--- /dev/null
+++ b/pkg/proxy/environment/envelope.go
@@ -0,0 +1,190 @@
+package environment
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Digest is the SHA-256 of a document's text in hexadecimal.
+type Digest string
+
+// DigestOf returns the digest of a document's text.
+func DigestOf(text []byte) Digest {
+	sum := sha256.Sum256(text)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Validate reports a digest that is not 64 lower-case hexadecimal digits.
+func (d Digest) Validate() error {
+	if !digestPattern.MatchString(string(d)) {
+		return eris.Errorf("digest %s: want 64 lower-case hexadecimal digits", proxy.Shown(string(d)))
+	}
+	return nil
+}
+
+// Short returns the digest's first digits, for people.
+func (d Digest) Short() string { return string(d[:min(12, len(d))]) }
+
+// Nonce is a random value by which an author recognises an own change after a
+// lost answer.
+type Nonce string
+
+// NonceSize is the size of a nonce in bytes, before hexadecimal encoding.
+const NonceSize = 16
+
+var noncePattern = regexp.MustCompile(`^[0-9a-f]{32}$`)
+
+// NewNonce encodes random bytes.
+func NewNonce(random [NonceSize]byte) Nonce { return Nonce(hex.EncodeToString(random[:])) }
+
+// Validate reports a nonce that is not 32 lower-case hexadecimal digits.
+func (n Nonce) Validate() error {
+	if !noncePattern.MatchString(string(n)) {
+		return eris.Errorf("nonce %s: want 32 lower-case hexadecimal digits", proxy.Shown(string(n)))
+	}
+	return nil
+}
+
+// maxAuthor bounds the author's name in bytes.
+const maxAuthor = 128
+
+// CheckAuthor reports an author's name that an audit record cannot hold.
+func CheckAuthor(author string) error {
+	if author == "" || len(author) > maxAuthor || !utf8.ValidString(author) {
+		return eris.Errorf("author %s: want 1 to %d bytes of UTF-8", proxy.Shown(author), maxAuthor)
+	}
+	for _, r := range author {
+		if !unicode.IsPrint(r) {
+			return eris.Errorf("author %s: want printable characters", proxy.Shown(author))
+		}
+	}
+	return nil
+}
+
+// Envelope is an accepted document as stored in the platform. The summary is
+// the content of the revision's audit record, so that the record exists from
+// the moment at which the document is in force.
+type Envelope struct {
+	Environment proxy.EnvironmentID `json:"environment"`
+	Stage       proxy.Stage         `json:"stage"`
+	// Revision is one more than the revision that the envelope replaces.
+	Revision proxy.Revision `json:"revision"`
+	// Replaces is the replaced revision, zero for the first.
+	Replaces proxy.Revision `json:"replaces"`
+	Digest   Digest         `json:"digest"`
+	Author   string         `json:"author"`
+	Time     time.Time      `json:"time"`
+	Nonce    Nonce          `json:"nonce"`
+	Summary  Summary        `json:"summary"`
+	// Text is the YAML document.
+	Text string `json:"text"`
+}
+
+// Validate checks an envelope after decoding, without decoding the document.
+func (e *Envelope) Validate() error {
+	if err := proxy.CheckID("environment", string(e.Environment)); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if err := e.Stage.Validate(); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if e.Revision == 0 || e.Replaces != e.Revision-1 {
+		return eris.Errorf("envelope: revision %d replaces %d: want one more than the replaced revision", e.Revision, e.Replaces)
+	}
+	if err := e.Digest.Validate(); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if err := CheckAuthor(e.Author); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if e.Time.IsZero() {
+		return eris.New("envelope: no time")
+	}
+	if err := e.Nonce.Validate(); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if err := e.Summary.Validate(); err != nil {
+		return fmt.Errorf("envelope: %w", err)
+	}
+	if len(e.Text) > MaxSize {
+		return eris.Errorf("envelope: document of %d bytes: want at most %d", len(e.Text), MaxSize)
+	}
+	if digest := DigestOf([]byte(e.Text)); digest != e.Digest {
+		return eris.Errorf("envelope: digest %s is not that of the document, %s", e.Digest.Short(), digest.Short())
+	}
+	return nil
+}
+
+// Document decodes and checks the document in the envelope.
+func (e *Envelope) Document() (*proxy.Document, error) {
+	document, err := Decode([]byte(e.Text))
+	if err != nil {
+		return nil, fmt.Errorf("document of revision %d: %w", e.Revision, err)
+	}
+	if document.Environment != e.Environment {
+		return nil, eris.Errorf("document of environment %q in an envelope of %q", document.Environment, e.Environment)
+	}
+	return document, nil
+}
+
+// String describes the envelope without the text, which holds verifiers.
+func (e Envelope) String() string {
+	return fmt.Sprintf("%s %s revision %d, digest %s, by %s at %s",
+		e.Environment, e.Stage, e.Revision, e.Digest.Short(), e.Author, e.Time.UTC().Format(time.RFC3339))
+}
+
+// GoString hides the text as String does.
+func (e Envelope) GoString() string { return e.String() }
+
+// EncodeEnvelope returns the stored form. It fails for an envelope that is
+// larger than the platform stores.
+func EncodeEnvelope(e *Envelope) ([]byte, error) {
+	if err := e.Validate(); err != nil {
+		return nil, err
+	}
+	value, err := encode(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode envelope: %w", err)
+	}
+	if len(value) > proxy.MaxObjectSize {
+		return nil, fmt.Errorf("envelope of %d bytes: %w", len(value), proxy.ErrTooLarge)
+	}
+	return value, nil
+}
+
+// DecodeEnvelope reads and checks the stored form.
+func DecodeEnvelope(value []byte) (*Envelope, error) {
+	e := &Envelope{}
+	if err := json.Unmarshal(value, e); err != nil {
+		return nil, fmt.Errorf("decode envelope: %w", err)
+	}
+	if err := e.Validate(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// encode returns JSON without the escapes for HTML, which would make texts up
+// to six times as long.
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(buffer.Bytes(), "\n"), nil
+}
--- /dev/null
+++ b/pkg/proxy/environment/reader.go
@@ -0,0 +1,210 @@
+package environment
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// position is a place in the text, counted from one.
+type position struct{ line, column int }
+
+func positionOf(node ast.Node) position {
+	token := node.GetToken()
+	if mapping, ok := node.(*ast.MappingNode); ok && len(mapping.Values) > 0 && !mapping.IsFlowStyle {
+		token = mapping.Values[0].Key.GetToken()
+	}
+	if token == nil || token.Position == nil {
+		return position{line: 1, column: 1}
+	}
+	return position{line: token.Position.Line, column: token.Position.Column}
+}
+
+// defaulter is a type with values for keys that are not in the document.
+type defaulter interface{ Default() }
+
+// reader fills Go values from a syntax tree and collects all problems on the
+// way. The library's own decoder stops at the first problem.
+type reader struct {
+	problems Problems
+	// positions maps the path of each value to its place in the text.
+	positions map[string]position
+	// failed holds the paths of values that could not be read.
+	failed map[string]bool
+}
+
+func (r *reader) fail(path string, node ast.Node, value, format string, args ...any) {
+	at := positionOf(node)
+	r.failed[path] = true
+	r.problems = append(r.problems, Problem{
+		Line: at.line, Column: at.column, Path: path, Value: value, Want: fmt.Sprintf(format, args...),
+	})
+}
+
+// read fills target, a pointer to a struct, slice or scalar, from node.
+func (r *reader) read(path string, node ast.Node, target any) {
+	if value, ok := target.(defaulter); ok {
+		value.Default()
+	}
+	r.positions[path] = positionOf(node)
+	value := reflect.ValueOf(target).Elem()
+	if duration, ok := target.(*time.Duration); ok {
+		r.duration(path, node, duration)
+		return
+	}
+	switch value.Kind() {
+	case reflect.Struct:
+		r.mapping(path, node, value)
+	case reflect.Slice:
+		r.sequence(path, node, value)
+	default:
+		r.scalar(path, node, value)
+	}
+}
+
+// fields returns the struct's fields by their yaml names, and the names.
+func fields(target reflect.Value) (map[string]int, []string) {
+	index := map[string]int{}
+	var names []string
+	for i := range target.NumField() {
+		name, _, _ := strings.Cut(target.Type().Field(i).Tag.Get("yaml"), ",")
+		index[name] = i
+		names = append(names, name)
+	}
+	return index, names
+}
+
+func (r *reader) mapping(path string, node ast.Node, target reflect.Value) {
+	mapping, ok := node.(*ast.MappingNode)
+	if !ok {
+		r.fail(path, node, describe(path, node), "a mapping")
+		return
+	}
+	index, names := fields(target)
+	seen := map[string]bool{}
+	for _, entry := range mapping.Values {
+		name, plain := entry.Key.(*ast.StringNode)
+		if !plain {
+			r.fail(join(path, "?"), entry.Key, "a key that is not a plain name", "one of %s", strings.Join(names, ", "))
+			continue
+		}
+		at := join(path, name.Value)
+		field, known := index[name.Value]
+		if !known {
+			r.fail(join(path, "?"), entry.Key, "unknown key "+proxy.Shown(name.Value), "one of %s", strings.Join(names, ", "))
+			continue
+		}
+		if seen[name.Value] {
+			r.fail(at, entry.Key, "a second key "+proxy.Shown(name.Value), "each key once")
+			continue
+		}
+		seen[name.Value] = true
+		r.read(at, entry.Value, target.Field(field).Addr().Interface())
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (r *reader) sequence(path string, node ast.Node, target reflect.Value) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		r.fail(path, node, describe(path, node), "a list")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(sequence.Values), len(sequence.Values)))
+	for i, value := range sequence.Values {
+		r.read(fmt.Sprintf("%s[%d]", path, i), value, target.Index(i).Addr().Interface())
+	}
+}
+
+func (r *reader) scalar(path string, node ast.Node, target reflect.Value) {
+	switch target.Kind() {
+	case reflect.String:
+		if text, ok := node.(*ast.StringNode); ok {
+			target.SetString(text.Value)
+			return
+		}
+		r.fail(path, node, describe(path, node), "text")
+	case reflect.Bool:
+		if flag, ok := node.(*ast.BoolNode); ok {
+			target.SetBool(flag.Value)
+			return
+		}
+		r.fail(path, node, describe(path, node), "true or false")
+	case reflect.Int:
+		if number, ok := node.(*ast.IntegerNode); ok {
+			if value, err := strconv.ParseInt(number.Token.Value, 10, 32); err == nil {
+				target.SetInt(value)
+				return
+			}
+		}
+		r.fail(path, node, describe(path, node), "a whole decimal number")
+	case reflect.Float64:
+		if value, ok := decimal(node); ok {
+			target.SetFloat(value)
+			return
+		}
+		r.fail(path, node, describe(path, node), "a decimal number")
+	default:
+		panic("no reader for " + target.Type().String())
+	}
+}
+
+func decimal(node ast.Node) (float64, bool) {
+	switch node.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+		value, err := strconv.ParseFloat(node.GetToken().Value, 64)
+		return value, err == nil && !math.IsInf(value, 0) && !math.IsNaN(value)
+	}
+	return 0, false
+}
+
+func (r *reader) duration(path string, node ast.Node, target *time.Duration) {
+	switch node.(type) {
+	case *ast.StringNode, *ast.IntegerNode:
+		value, err := time.ParseDuration(node.GetToken().Value)
+		if err == nil {
+			*target = value
+			return
+		}
+	}
+	r.fail(path, node, describe(path, node), "a duration with a unit, such as 250ms, 5s or 2m")
+}
+
+// describe shows a node in an error message without content that is or could
+// be secret.
+func describe(path string, node ast.Node) string {
+	if strings.HasSuffix(path, ".verifier") {
+		return "(not shown)"
+	}
+	switch node := node.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.AliasNode, *ast.AnchorNode:
+		return "an anchor or alias"
+	case *ast.TagNode:
+		return "a tag"
+	case *ast.NullNode:
+		return "no value"
+	case *ast.StringNode:
+		return proxy.Shown(node.Value)
+	}
+	if token := node.GetToken(); token != nil {
+		return proxy.Shown(token.Value)
+	}
+	return node.Type().String()
+}
