--- /dev/null
+++ b/internal/inner/codec.go
@@ -0,0 +1,90 @@
+package inner
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+const (
+	// maxMessage is the largest accepted encoded message in bytes: a document of
+	// the platform's largest size and as much for the rest of a batch.
+	maxMessage = 2 * proxy.MaxObjectSize
+	// maxControl is the largest accepted payload in bytes of a frame that is not
+	// data.
+	maxControl = 16 << 10
+	// maxNesting is the deepest accepted nesting of a message.
+	maxNesting = 16
+	// maxElements is the largest accepted number of elements of one array or map.
+	maxElements = 1 << 16
+)
+
+// Codec encodes messages as CBOR and frames as they are. It implements
+// drpc.Encoding.
+type Codec struct {
+	encode cbor.EncMode
+	decode cbor.DecMode
+}
+
+// NewCodec returns a codec.
+func NewCodec() (*Codec, error) {
+	encode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		return nil, fmt.Errorf("encoding options: %w", err)
+	}
+	decode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		return nil, fmt.Errorf("decoding options: %w", err)
+	}
+	return &Codec{encode: encode, decode: decode}, nil
+}
+
+// Marshal implements drpc.Encoding.
+func (c *Codec) Marshal(msg drpc.Message) ([]byte, error) {
+	return c.MarshalAppend(nil, msg)
+}
+
+// MarshalAppend appends the encoded message to buf.
+func (c *Codec) MarshalAppend(buf []byte, msg drpc.Message) ([]byte, error) {
+	if f, ok := msg.(*frame); ok {
+		return append(append(buf, byte(f.kind)), f.payload...), nil
+	}
+	encoded, err := c.encode.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", msg, err)
+	}
+	return append(buf, encoded...), nil
+}
+
+// Unmarshal implements drpc.Encoding. A message is validated after it is
+// decoded.
+func (c *Codec) Unmarshal(buf []byte, msg drpc.Message) error {
+	if f, ok := msg.(*frame); ok {
+		return f.decode(buf)
+	}
+	if len(buf) > maxMessage {
+		return eris.Errorf("message of %d bytes: at most %d are allowed", len(buf), maxMessage)
+	}
+	if err := c.decode.Unmarshal(buf, msg); err != nil {
+		return fmt.Errorf("decode %T: %w", msg, err)
+	}
+	checked, ok := msg.(proxy.Message)
+	if !ok {
+		return eris.Errorf("decode %T: the type has no Validate", msg)
+	}
+	if err := checked.Validate(); err != nil {
+		return fmt.Errorf("decode %T: %w", msg, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inner/loan.go
@@ -0,0 +1,153 @@
+package inner
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// loan implements proxy.Loan on a stream to another host's pool.
+type loan struct {
+	client   *Client
+	peer     *peer
+	channel  channel
+	end      context.CancelFunc
+	signs    *alive
+	lent     proxy.Lent
+	frontend *pgproto3.Frontend
+	released atomic.Bool
+	// frame is the frame received last.
+	frame frame
+	// unread holds received bytes that the Frontend has not read.
+	unread []byte
+}
+
+// accept reads the pool's answer to the ask.
+func (l *loan) accept() error {
+	switch l.frame.kind {
+	case lentFrame:
+	case refusedFrame:
+		return l.channel.refusal(&l.frame)
+	default:
+		return &Unreachable{l.peer.address, proxy.Refuse(proxy.ProtocolViolation, "frame of kind %d in place of a loan", l.frame.kind)}
+	}
+	var g granted
+	if err := l.channel.codec.Unmarshal(l.frame.payload, &g); err != nil {
+		return &Unreachable{l.peer.address, err}
+	}
+	l.lent = g.Lent
+	l.frontend = pgproto3.NewFrontend(l, l)
+	l.signs = startAlive(l.channel, l.client.alive())
+	return nil
+}
+
+// Lent implements proxy.Loan.
+func (l *loan) Lent() proxy.Lent { return l.lent }
+
+// Frontend implements proxy.Loan.
+func (l *loan) Frontend() *pgproto3.Frontend { return l.frontend }
+
+// Read implements io.Reader for the Frontend.
+func (l *loan) Read(p []byte) (int, error) {
+	for len(l.unread) == 0 {
+		if err := l.channel.receive(&l.frame); err != nil {
+			return 0, err
+		}
+		if err := l.data(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, l.unread)
+	l.unread = l.unread[n:]
+	return n, nil
+}
+
+// data keeps the bytes of a received data frame.
+func (l *loan) data() error {
+	switch l.frame.kind {
+	case dataFrame:
+		l.unread = append(l.unread, l.frame.payload...)
+		return nil
+	case refusedFrame:
+		return l.channel.refusal(&l.frame)
+	default:
+		return proxy.Doubt(proxy.ProtocolViolation, "frame of kind %d within a loan", l.frame.kind)
+	}
+}
+
+// Write implements io.Writer for the Frontend.
+func (l *loan) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		chunk := p[written:min(len(p), written+chunkSize)]
+		f := frame{kind: dataFrame, payload: chunk}
+		if err := l.channel.sendFrame(&f); err != nil {
+			return written, err
+		}
+		written += len(chunk)
+	}
+	return written, nil
+}
+
+// Confirm implements proxy.Loan.
+func (l *loan) Confirm(ctx context.Context) (proxy.Bookmark, error) {
+	sent := l.client.Clock.Now()
+	// Without an answer the state of the stream is unknown, so that it ends.
+	defer context.AfterFunc(ctx, l.end)()
+	if err := l.channel.send(confirmFrame, nil); err != nil {
+		return proxy.Bookmark{}, fmt.Errorf("confirm: %w", err)
+	}
+	for {
+		if err := l.channel.receive(&l.frame); err != nil {
+			return proxy.Bookmark{}, fmt.Errorf("confirm: %w", err)
+		}
+		if l.frame.kind == confirmedFrame {
+			return l.confirmed(sent)
+		}
+		if err := l.data(); err != nil {
+			return proxy.Bookmark{}, fmt.Errorf("confirm: %w", err)
+		}
+	}
+}
+
+func (l *loan) confirmed(sent proxy.Instant) (proxy.Bookmark, error) {
+	var c confirmation
+	if err := l.channel.codec.Unmarshal(l.frame.payload, &c); err != nil {
+		return proxy.Bookmark{}, fmt.Errorf("confirm: %w", err)
+	}
+	taken := l.client.Clock.Now().Sub(sent)
+	if taken >= proxy.HolderTime(c.Valid) {
+		return proxy.Bookmark{}, proxy.Doubt(proxy.OutcomeUnknown, "the confirmation came %v after the request and was valid for %v", taken, c.Valid)
+	}
+	return c.Bookmark, nil
+}
+
+// Cancel implements proxy.Loan. It may be called while another goroutine uses
+// the loan.
+func (l *loan) Cancel(context.Context) error {
+	if l.released.Load() {
+		return nil
+	}
+	return l.channel.send(cancelFrame, nil)
+}
+
+// Release implements proxy.Loan. The peer connection is kept unless its state
+// is unknown.
+func (l *loan) Release(r proxy.Return) {
+	if !l.released.CompareAndSwap(false, true) {
+		l.client.Logger.Error().Msg("invariant violated: loan released twice")
+		return
+	}
+	l.signs.stop()
+	if l.channel.send(releaseFrame, &returned{r}) != nil {
+		l.end()
+		_ = l.peer.Close()
+		return
+	}
+	_ = l.channel.stream.Close()
+	l.client.put(l.peer)
+}
--- /dev/null
+++ b/internal/inner/server.go
@@ -0,0 +1,116 @@
+package inner
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// defaultAlive is the default interval of the signs of life.
+const defaultAlive = time.Second
+
+// silences is the number of intervals without any byte after which a peer
+// connection is closed.
+const silences = 3
+
+// Server lends this host's connections to other hosts. The exported fields are
+// set before Run.
+type Server struct {
+	// Lender lends this host's connections. Its loans must implement Raw.
+	Lender proxy.Lender
+	Codec  *Codec
+	// TLS authenticates the peers; nil serves without TLS.
+	TLS *tls.Config
+	// Alive is the interval of the signs of life on open loans.
+	Alive   time.Duration
+	Logger  zerolog.Logger
+	Metrics metrics.Registry
+}
+
+// Run serves connections of the listener until ctx ends.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	if s.Alive <= 0 {
+		s.Alive = defaultAlive
+	}
+	if s.Metrics == nil {
+		s.Metrics = metrics.NewRegistry()
+	}
+	mux := drpcmux.New()
+	if err := mux.Register(s, service{s.Codec}); err != nil {
+		return fmt.Errorf("register the rpcs: %w", err)
+	}
+	listener = watchedListener{listener, silences * s.Alive}
+	if s.TLS != nil {
+		listener = tls.NewListener(listener, s.TLS)
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Log: s.log})
+	if err := server.Serve(ctx, listener); err != nil {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) log(err error) {
+	s.Logger.Debug().Err(err).Msg("peer connection ended")
+}
+
+// lend serves one loan.
+func (s *Server) lend(stream drpc.Stream) error {
+	c := channel{stream, s.Codec}
+	var f frame
+	if err := c.receive(&f); err != nil {
+		return err
+	}
+	if f.kind != askFrame {
+		return c.refuse(proxy.Refuse(proxy.ProtocolViolation, "frame of kind %d before the ask", f.kind))
+	}
+	var o opening
+	if err := s.Codec.Unmarshal(f.payload, &o); err != nil {
+		return c.refuse(proxy.Refuse(proxy.ProtocolViolation, "%v", err))
+	}
+	signs := startAlive(c, s.Alive)
+	defer signs.stop()
+	loan, err := s.Lender.Lend(stream.Context(), o.qualified())
+	if err != nil {
+		return c.refuse(err)
+	}
+	return s.relay(c, loan)
+}
+
+// qualified returns the ask with a session that is unique over all fronts.
+func (o *opening) qualified() proxy.Ask {
+	ask := o.Ask
+	if ask.Session == 0 {
+		return ask
+	}
+	b := binary.BigEndian.AppendUint64(nil, o.Client)
+	b = binary.BigEndian.AppendUint64(b, ask.Session)
+	ask.Session = max(1, xxhash.Sum64(b))
+	return ask
+}
+
+func (s *Server) relay(c channel, loan proxy.Loan) error {
+	raw, ok := loan.(Raw)
+	if !ok {
+		loan.Release(proxy.Return{})
+		return c.refuse(proxy.Refuse(proxy.InternalInconsistency, "the loan gives no access to its connection"))
+	}
+	if err := c.send(lentFrame, &granted{loan.Lent()}); err != nil {
+		loan.Release(proxy.Return{})
+		return err
+	}
+	r := newRelay(c, loan, raw.Raw())
+	return r.run()
+}
--- /dev/null
+++ b/internal/inner/service.go
@@ -0,0 +1,47 @@
+package inner
+
+import (
+	"context"
+
+	"storj.io/drpc"
+)
+
+// The names of the rpcs.
+const (
+	lendRPC = "/pool/Lend"
+	pingRPC = "/pool/Ping"
+)
+
+// service describes a Server to drpc.
+type service struct{ codec *Codec }
+
+// NumMethods implements drpc.Description.
+func (s service) NumMethods() int { return 2 }
+
+// Method implements drpc.Description.
+func (s service) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	switch n {
+	case 0:
+		receiver := func(srv any, _ context.Context, in1, _ any) (drpc.Message, error) {
+			return nil, srv.(*Server).lend(in1.(drpc.Stream))
+		}
+		return lendRPC, s.codec, receiver, (*Server).lend, true
+	case 1:
+		receiver := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+			return srv.(*Server).ping(ctx, in1.(*nothing))
+		}
+		return pingRPC, s.codec, receiver, (*Server).ping, true
+	}
+	return "", nil, nil, nil, false
+}
+
+// nothing is an empty message.
+type nothing struct{}
+
+// Validate implements proxy.Message.
+func (*nothing) Validate() error { return nil }
+
+// ping answers a peer that checks an idle connection.
+func (s *Server) ping(context.Context, *nothing) (*nothing, error) {
+	return &nothing{}, nil
+}
--- /dev/null
+++ b/internal/pool/scripted_test.go
@@ -0,0 +1,213 @@
+package pool_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// scripted is an instance that answers statements from a script.
+type scripted struct {
+	listener net.Listener
+
+	mu         sync.Mutex
+	open       int
+	most       int
+	total      int
+	statements []string
+	// position is the answer to the position statements.
+	position string
+	// silent connections accept statements and never answer.
+	silent map[int]bool
+	conns  map[int]net.Conn
+}
+
+func startScripted(t testing.TB) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{listener: listener, position: "0/100", silent: map[int]bool{}, conns: map[int]net.Conn{}}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { s.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		serving.Wait()
+	})
+	return s
+}
+
+func (s *scripted) address() string { return s.listener.Addr().String() }
+
+func (s *scripted) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	backend := pgproto3.NewBackend(conn, conn)
+	if _, err := backend.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	s.mu.Lock()
+	number := s.total
+	s.total++
+	s.open++
+	s.most = max(s.most, s.open)
+	s.conns[number] = conn
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.open--
+		delete(s.conns, number)
+	}()
+	backend.Send(&pgproto3.AuthenticationOk{})
+	backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(number), SecretKey: []byte{1, 2, 3, 4}})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if backend.Flush() != nil {
+		return
+	}
+	status := byte('I')
+	for {
+		message, err := backend.Receive()
+		if err != nil {
+			return
+		}
+		query, ok := message.(*pgproto3.Query)
+		if !ok {
+			return
+		}
+		if s.mute(number, query.String) {
+			continue
+		}
+		status = s.answer(backend, query.String, status)
+		if backend.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (s *scripted) mute(number int, statement string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statements = append(s.statements, statement)
+	return s.silent[number]
+}
+
+func (s *scripted) answer(backend *pgproto3.Backend, statement string, status byte) byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch statement {
+	case "BEGIN":
+		status = 'T'
+	case "COMMIT":
+		status = 'I'
+	case "":
+		backend.Send(&pgproto3.EmptyQueryResponse{})
+		backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+		return status
+	case "SELECT pg_current_wal_lsn()":
+		backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(s.position)}})
+	}
+	backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+	backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	return status
+}
+
+func (s *scripted) count(statement string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, x := range s.statements {
+		if x == statement {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *scripted) silence(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[number] = true
+}
+
+func (s *scripted) numbers() (open, most, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open, s.most, s.total
+}
+
+// leaders is a proxy.Leaders of one primary for all groups.
+type leaders struct {
+	mu         sync.Mutex
+	leadership proxy.Leadership
+}
+
+func (l *leaders) set(leadership proxy.Leadership) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leadership = leadership
+}
+
+func (l *leaders) Leader(proxy.GroupID) (proxy.Leadership, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leadership, true
+}
+
+func (l *leaders) Acknowledge(_ proxy.Instant, _ proxy.GroupID, instance proxy.InstanceID, at proxy.Bookmark) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if instance != l.leadership.Primary || at.Term != l.leadership.Term {
+		return proxy.Doubt(proxy.OutcomeUnknown, "replaced")
+	}
+	return nil
+}
+
+// catalog is a proxy.Catalog whose document tests replace.
+type catalog struct {
+	mu       sync.Mutex
+	document *proxy.Document
+	revision proxy.Revision
+}
+
+func (c *catalog) Current() (*proxy.Document, proxy.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document, c.revision
+}
+
+func (c *catalog) set(document *proxy.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.document = document
+	c.revision++
+}
+
+// manual is a proxy.Clock that tests move.
+type manual struct {
+	mu  sync.Mutex
+	now proxy.Instant
+}
+
+func (m *manual) Now() proxy.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
