--- /dev/null
+++ b/internal/emulator/instance/parser_query.go
@@ -0,0 +1,260 @@
+package instance
+
+import (
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+func (p *parser) selection() *selectStatement {
+	s := &selectStatement{targets: p.targets()}
+	if p.words("from") {
+		s.source = p.source()
+	}
+	if p.words("where") {
+		s.where = p.expression()
+	}
+	if p.words("order by") {
+		s.order = &order{by: p.expression()}
+		s.order.descending = p.words("desc")
+		if !s.order.descending {
+			p.words("asc")
+		}
+	}
+	for {
+		switch {
+		case p.words("limit"):
+			s.limit = p.expression()
+			continue
+		case p.words("offset"):
+			s.offset = p.expression()
+			continue
+		case p.words("for update"):
+			s.locking = true
+		}
+		break
+	}
+	s.hoistSeries()
+	s.check()
+	return s
+}
+
+// hoistSeries turns SELECT generate_series(a, b) into SELECT ... FROM
+// generate_series(a, b).
+func (s *selectStatement) hoistSeries() {
+	if s.source.kind != sourceNone {
+		return
+	}
+	for i, t := range s.targets {
+		c, ok := t.value.(call)
+		if !ok || c.name != "generate_series" || len(c.arguments) != 2 {
+			continue
+		}
+		s.source = source{sourceSeries, "generate_series", c.arguments[0], c.arguments[1]}
+		s.targets[i].value = column{name: "generate_series"}
+		return
+	}
+}
+
+// check refuses the parts that the source of the SELECT does not allow.
+func (s *selectStatement) check() {
+	if s.locking && s.source.kind != sourceTable {
+		panic(errorf(proxy.FeatureNotSupported, "FOR UPDATE needs the table %s", tableName))
+	}
+	if s.order != nil && s.source.kind == sourceSeries {
+		panic(errorf(proxy.FeatureNotSupported, "ORDER BY needs the table %s", tableName))
+	}
+}
+
+// source parses the FROM clause.
+func (p *parser) source() source {
+	switch {
+	case p.words("generate_series"):
+		p.wantSymbol("(")
+		s := source{kind: sourceSeries, first: p.expression()}
+		p.wantSymbol(",")
+		s.last = p.expression()
+		p.wantSymbol(")")
+		s.alias = "generate_series"
+		p.words("as")
+		if t := p.peek(); t.kind == tokenQuoted || t.kind == tokenWord && !reserved[t.text] {
+			s.alias = p.name()
+			if p.symbol("(") {
+				s.alias = p.name()
+				p.wantSymbol(")")
+			}
+		}
+		return s
+	case p.words("pg_control_checkpoint"):
+		p.wantSymbol("(")
+		p.wantSymbol(")")
+		return source{kind: sourceCheckpoint}
+	}
+	p.table()
+	return source{kind: sourceTable}
+}
+
+// reserved words that cannot be an alias or a column.
+var reserved = map[string]bool{
+	"and": true, "as": true, "asc": true, "desc": true, "for": true, "from": true,
+	"in": true, "is": true, "limit": true, "not": true, "offset": true, "on": true, "or": true,
+	"order": true, "returning": true, "select": true, "set": true, "to": true, "where": true,
+}
+
+func (p *parser) targets() []target {
+	targets := []target{p.target()}
+	for p.symbol(",") {
+		targets = append(targets, p.target())
+	}
+	return targets
+}
+
+func (p *parser) target() target {
+	if p.symbol("*") {
+		return target{star: true}
+	}
+	t := target{value: p.expression()}
+	t.name = targetName(t.value)
+	if p.words("as") {
+		t.name = p.name()
+	} else if n := p.peek(); n.kind == tokenQuoted || n.kind == tokenWord && !reserved[n.text] {
+		t.name = p.name()
+	}
+	return t
+}
+
+// targetName returns the name that PostgreSQL gives to a result column.
+func targetName(e expression) string {
+	switch e := e.(type) {
+	case column:
+		return e.name
+	case call:
+		return e.name
+	case cast:
+		if n := targetName(e.operand); n != "?column?" {
+			return n
+		}
+		return typeNames[e.to]
+	}
+	return "?column?"
+}
+
+func (p *parser) insert() statement {
+	p.table()
+	s := &insertStatement{columns: p.columns()}
+	p.wantWords("values")
+	for {
+		p.wantSymbol("(")
+		row := p.list()
+		if len(row) != len(s.columns) {
+			panic(errorf(stateSyntax, "INSERT has %d columns and %d values", len(s.columns), len(row)))
+		}
+		s.rows = append(s.rows, row)
+		if !p.symbol(",") {
+			break
+		}
+	}
+	if p.words("on conflict") {
+		p.conflict(s)
+	}
+	s.returning = p.returning()
+	return s
+}
+
+// conflict parses the rest of an ON CONFLICT clause.
+func (p *parser) conflict(s *insertStatement) {
+	if p.symbol("(") {
+		p.wantWords("key")
+		p.wantSymbol(")")
+	}
+	if p.words("do nothing") {
+		s.conflict = conflictNothing
+		return
+	}
+	p.wantWords("do update set")
+	s.conflict = conflictUpdate
+	s.update = p.assignment()
+	if p.words("where") {
+		s.where = p.expression()
+	}
+}
+
+// assignment parses value = expression.
+func (p *parser) assignment() expression {
+	if p.column() != "value" {
+		panic(errorf(proxy.FeatureNotSupported, "the emulator cannot change a key"))
+	}
+	p.wantSymbol("=")
+	return p.expression()
+}
+
+func (p *parser) returning() []target {
+	if !p.words("returning") {
+		return nil
+	}
+	return p.targets()
+}
+
+func (p *parser) update() statement {
+	p.table()
+	p.wantWords("set")
+	s := &updateStatement{value: p.assignment()}
+	if p.words("where") {
+		s.where = p.expression()
+	}
+	s.returning = p.returning()
+	return s
+}
+
+func (p *parser) deletion() statement {
+	p.table()
+	s := &deleteStatement{}
+	if p.words("where") {
+		s.where = p.expression()
+	}
+	s.returning = p.returning()
+	return s
+}
+
+func (p *parser) copy() statement {
+	s := &copyStatement{}
+	if p.symbol("(") {
+		p.wantWords("select")
+		s.query = p.selection()
+		p.wantSymbol(")")
+		p.wantWords("to stdout")
+	} else {
+		p.table()
+		s.columns = p.columns()
+		s.in = p.words("from stdin")
+		if !s.in {
+			p.wantWords("to stdout")
+			s.query = &selectStatement{source: source{kind: sourceTable}}
+			for _, c := range s.columns {
+				s.query.targets = append(s.query.targets, target{value: column{name: c}, name: c})
+			}
+		}
+	}
+	s.format = p.copyFormat()
+	return s
+}
+
+// copyFormat parses the options of COPY.
+func (p *parser) copyFormat() copyFormat {
+	p.words("with")
+	parens := p.symbol("(")
+	if parens {
+		p.wantWords("format")
+	}
+	format := copyText
+	switch {
+	case p.words("binary"):
+		format = copyBinary
+	case p.words("csv"):
+		panic(errorf(proxy.FeatureNotSupported, "the emulator copies in the formats text and binary"))
+	default:
+		p.words("text")
+	}
+	if parens {
+		p.wantSymbol(")")
+	}
+	return format
+}
--- /dev/null
+++ b/internal/emulator/instance/selection.go
@@ -0,0 +1,273 @@
+package instance
+
+import (
+	"context"
+	"sort"
+
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// selection returns the rows of a SELECT. They are computed one at a time from
+// a snapshot, so that large results need no memory.
+func (s *session) selection(stmt *selectStatement, sc *scope) (func() ([]value, error), error) {
+	sc.source = stmt.source
+	limit, offset, err := bounds(stmt, sc)
+	if err != nil {
+		return nil, err
+	}
+	advance, err := s.scan(stmt, sc)
+	if err != nil {
+		return nil, err
+	}
+	if isCount(stmt.targets) {
+		n, err := count(advance)
+		if err != nil {
+			return nil, err
+		}
+		advance = counter(1)
+		sc.number = intValue(n)
+		stmt = &selectStatement{targets: []target{{value: literal{sc.number}}}}
+	}
+	return func() ([]value, error) {
+		for ; offset > 0; offset-- {
+			if ok, err := advance(); !ok || err != nil {
+				return nil, err
+			}
+		}
+		if limit == 0 {
+			return nil, nil
+		}
+		limit--
+		if ok, err := advance(); !ok || err != nil {
+			return nil, err
+		}
+		return sc.project(stmt.targets)
+	}, nil
+}
+
+// isCount reports the target list count(*).
+func isCount(targets []target) bool {
+	c, ok := targets[0].value.(call)
+	return ok && len(targets) == 1 && c.name == "count"
+}
+
+func count(advance func() (bool, error)) (int64, error) {
+	for n := int64(0); ; n++ {
+		ok, err := advance()
+		if !ok || err != nil {
+			return n, err
+		}
+	}
+}
+
+// counter advances n times.
+func counter(n int) func() (bool, error) {
+	return func() (bool, error) {
+		n--
+		return n >= 0, nil
+	}
+}
+
+// bounds returns the values of LIMIT and OFFSET; a negative limit is none.
+func bounds(stmt *selectStatement, sc *scope) (limit, offset int64, err error) {
+	limit = -1
+	if stmt.limit != nil {
+		if limit, err = sc.integer(stmt.limit, -1); err != nil {
+			return
+		}
+	}
+	if stmt.offset != nil {
+		offset, err = sc.integer(stmt.offset, 0)
+	}
+	return
+}
+
+// integer evaluates e as an integer, absent for null.
+func (sc *scope) integer(e expression, absent int64) (int64, error) {
+	v, err := sc.evaluate(e)
+	if err != nil || v.null {
+		return absent, err
+	}
+	return v.integer()
+}
+
+// scan returns a function that moves the scope to the next row of the source.
+func (s *session) scan(stmt *selectStatement, sc *scope) (func() (bool, error), error) {
+	switch stmt.source.kind {
+	case sourceSeries:
+		return s.series(stmt, sc)
+	case sourceTable:
+		return s.table(stmt, sc)
+	}
+	timeline := intValue(int64(s.engine.State().Timeline))
+	sc.number = value{oid: pgtype.Int4OID, text: timeline.text}
+	ok, err := sc.holds(stmt.where)
+	if !ok {
+		return counter(0), err
+	}
+	return counter(1), err
+}
+
+func (s *session) series(stmt *selectStatement, sc *scope) (func() (bool, error), error) {
+	n, err := sc.integer(stmt.source.first, 0)
+	if err != nil {
+		return nil, err
+	}
+	last, err := sc.integer(stmt.source.last, -1)
+	if err != nil {
+		return nil, err
+	}
+	a := &analysis{source: stmt.source}
+	oid := a.seriesType()
+	return func() (bool, error) {
+		for n <= last {
+			if s.ctx.Err() != nil {
+				return false, context.Cause(s.ctx)
+			}
+			sc.number = intValue(n)
+			sc.number.oid = oid
+			n++
+			if ok, err := sc.holds(stmt.where); ok || err != nil {
+				return ok, err
+			}
+		}
+		return false, nil
+	}, nil
+}
+
+func (s *session) table(stmt *selectStatement, sc *scope) (func() (bool, error), error) {
+	if stmt.locking {
+		if err := s.mayWrite("SELECT FOR UPDATE"); err != nil {
+			return nil, err
+		}
+	}
+	rows, err := s.matching(stmt.where, sc)
+	if err != nil {
+		return nil, err
+	}
+	if stmt.locking {
+		if rows, err = s.lockRows(rows, stmt.where, sc); err != nil {
+			return nil, err
+		}
+	}
+	if stmt.order != nil {
+		if err := sc.sort(rows, *stmt.order); err != nil {
+			return nil, err
+		}
+	}
+	return func() (bool, error) {
+		if len(rows) == 0 {
+			return false, nil
+		}
+		sc.row = &rows[0]
+		rows = rows[1:]
+		return true, nil
+	}, nil
+}
+
+// sort orders rows, which are ordered by key.
+func (sc *scope) sort(rows []Row, by order) error {
+	values := make(map[string]value, len(rows))
+	for i := range rows {
+		sc.row = &rows[i]
+		v, err := sc.evaluate(by.by)
+		if err != nil {
+			return err
+		}
+		values[rows[i].Key] = v
+	}
+	var failure error
+	sort.SliceStable(rows, func(i, j int) bool {
+		order, err := values[rows[i].Key].compare(values[rows[j].Key])
+		if err != nil {
+			failure = err
+		}
+		if by.descending {
+			order = -order
+		}
+		return order < 0
+	})
+	return failure
+}
+
+// project evaluates a target list.
+func (sc *scope) project(targets []target) ([]value, error) {
+	row := make([]value, 0, len(targets))
+	for _, t := range targets {
+		switch {
+		case !t.star:
+			v, err := sc.evaluate(t.value)
+			if err != nil {
+				return nil, err
+			}
+			row = append(row, v)
+		case sc.row != nil:
+			row = append(row, textValue(sc.row.Key), textValue(sc.row.Value))
+		default:
+			row = append(row, sc.number)
+		}
+	}
+	return row, nil
+}
+
+// matching returns the visible rows for which a condition holds, ordered by key.
+func (s *session) matching(where expression, sc *scope) ([]Row, error) {
+	candidates, err := s.candidates(where, sc)
+	if err != nil {
+		return nil, err
+	}
+	rows := candidates[:0]
+	for i := range candidates {
+		sc.row = &candidates[i]
+		ok, err := sc.holds(where)
+		if err != nil {
+			return nil, err
+		}
+		if ok {
+			rows = append(rows, candidates[i])
+		}
+	}
+	sc.row = nil
+	return rows, nil
+}
+
+// candidates returns the row with the key that the condition demands, or all
+// rows if it demands no single key.
+func (s *session) candidates(where expression, sc *scope) ([]Row, error) {
+	e := demandedKey(where)
+	if e == nil {
+		return s.engine.Scan(s.tx), nil
+	}
+	key, err := sc.evaluate(e)
+	if err != nil {
+		return nil, err
+	}
+	text, ok := s.engine.Get(s.tx, key.text)
+	if !ok || key.null {
+		return nil, nil
+	}
+	return []Row{{key.text, text}}, nil
+}
+
+// demandedKey returns the literal or parameter that a condition requires the
+// key to be equal to, nil if there is none.
+func demandedKey(where expression) expression {
+	o, ok := where.(operation)
+	if !ok {
+		return nil
+	}
+	if o.operator == "and" {
+		if e := demandedKey(o.left); e != nil {
+			return e
+		}
+		return demandedKey(o.right)
+	}
+	if c, ok := o.left.(column); !ok || c.name != "key" || o.operator != "=" {
+		return nil
+	}
+	switch o.right.(type) {
+	case literal, parameter:
+		return o.right
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/instance/settings.go
@@ -0,0 +1,186 @@
+package instance
+
+import (
+	"maps"
+	"strings"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// serverVersion is the PostgreSQL version whose behaviour is emulated.
+const serverVersion = "17.0"
+
+// reportedSettings are announced by ParameterStatus, as in PostgreSQL 17.
+var reportedSettings = []string{
+	"application_name", "client_encoding", "datestyle", "default_transaction_read_only",
+	"in_hot_standby", "integer_datetimes", "intervalstyle", "is_superuser", "scram_iterations",
+	"search_path", "server_encoding", "server_version", "session_authorization",
+	"standard_conforming_strings", "timezone",
+}
+
+// properNames gives the spelling of the reported names that are not in lower case.
+var properNames = map[string]string{
+	"datestyle": "DateStyle", "intervalstyle": "IntervalStyle", "timezone": "TimeZone",
+}
+
+// computedSettings cannot be set.
+var computedSettings = map[string]bool{
+	"in_hot_standby": true, "integer_datetimes": true, "is_superuser": true, "primary_conninfo": true,
+	"server_encoding": true, "server_version": true, "max_connections": true,
+}
+
+// defaultSettings returns the settings of a new session.
+func defaultSettings(user string) map[string]string {
+	return map[string]string{
+		"application_name": "", "client_encoding": "UTF8", "client_min_messages": "notice",
+		"datestyle": "ISO, MDY", "default_transaction_isolation": "read committed",
+		"default_transaction_read_only": "off", "extra_float_digits": "1",
+		"idle_in_transaction_session_timeout": "0", "integer_datetimes": "on",
+		"intervalstyle": "postgres", "is_superuser": "on", "lock_timeout": "0",
+		"scram_iterations": "4096", "search_path": "\"$user\", public", "server_encoding": "UTF8",
+		"server_version": serverVersion, "session_authorization": user,
+		"standard_conforming_strings": "on", "statement_timeout": "0", "synchronous_commit": "on",
+		"timezone": "UTC", "transaction_isolation": "read committed", "work_mem": "4MB",
+	}
+}
+
+// settings are the values of a session. Local values end with the transaction.
+type settings struct {
+	initial map[string]string // after the startup message
+	session map[string]string
+	local   map[string]string
+}
+
+func newSettings(user string, startup map[string]string) (settings, error) {
+	s := settings{initial: defaultSettings(user), local: make(map[string]string)}
+	for name, text := range startup {
+		name = strings.ToLower(name)
+		switch name {
+		case "user", "database", "replication", "options":
+			continue
+		}
+		if err := s.check(name, text); err != nil {
+			return s, err
+		}
+		s.initial[name] = text
+	}
+	s.session = maps.Clone(s.initial)
+	return s, nil
+}
+
+// clone returns a copy of the values that a rollback restores.
+func (s settings) clone() settings {
+	return settings{initial: s.initial, session: maps.Clone(s.session), local: maps.Clone(s.local)}
+}
+
+// check reports a setting that cannot be set to text. Names with a dot are free.
+func (s settings) check(name, text string) error {
+	_, known := s.initial[name]
+	switch {
+	case computedSettings[name]:
+		return errorf(stateCannotChange, "parameter %q cannot be changed", name)
+	case !known && !strings.Contains(name, "."):
+		return unknownSetting(name)
+	case strings.HasSuffix(name, "_isolation") && !strings.HasPrefix(strings.ToLower(text), "read "):
+		return errorf(proxy.FeatureNotSupported, "the emulator has only the isolation level READ COMMITTED")
+	case name == "client_encoding" && !isUTF8(text):
+		return errorf(proxy.FeatureNotSupported, "the emulator has only the encoding UTF8")
+	}
+	if _, ok := parseSwitch(text); name == "default_transaction_read_only" && !ok {
+		return errorf(proxy.InvalidParameterValue, "parameter %q requires a Boolean value", name)
+	}
+	return nil
+}
+
+func isUTF8(encoding string) bool {
+	return strings.EqualFold(strings.ReplaceAll(encoding, "-", ""), "utf8")
+}
+
+// parseSwitch reads a Boolean setting.
+func parseSwitch(text string) (on, ok bool) {
+	switch strings.ToLower(text) {
+	case "on", "true", "yes", "1":
+		return true, true
+	case "off", "false", "no", "0":
+		return false, true
+	}
+	return false, false
+}
+
+func unknownSetting(name string) error {
+	return errorf(stateUndefinedObject, "unrecognized configuration parameter %q", name)
+}
+
+// set changes a setting of the session or of its transaction; nil restores the
+// initial value.
+func (s *session) set(name string, text *string, local bool) error {
+	if name == "transaction_read_only" && text != nil {
+		return s.setReadOnly(*text)
+	}
+	if text == nil {
+		initial, known := s.settings.initial[name]
+		if !known {
+			delete(s.settings.session, name)
+			delete(s.settings.local, name)
+			return nil
+		}
+		text = &initial
+	} else if err := s.settings.check(name, *text); err != nil {
+		return err
+	}
+	if local {
+		s.settings.local[name] = *text
+		return nil
+	}
+	s.settings.session[name] = *text
+	delete(s.settings.local, name)
+	return nil
+}
+
+// setReadOnly changes the access mode of the transaction.
+func (s *session) setReadOnly(text string) error {
+	on, ok := parseSwitch(text)
+	if !ok {
+		return errorf(proxy.InvalidParameterValue, "parameter \"transaction_read_only\" requires a Boolean value")
+	}
+	access := accessReadWrite
+	if on {
+		access = accessReadOnly
+	}
+	return s.setAccess(access)
+}
+
+// show returns the value of a setting.
+func (s *session) show(name string) (string, bool) {
+	switch name {
+	case "in_hot_standby":
+		return onOff(!s.engine.State().Primary), true
+	case "transaction_read_only":
+		return onOff(s.readOnly || !s.engine.State().Primary), true
+	case "primary_conninfo":
+		return s.engine.State().Source, true
+	case "max_connections":
+		return s.limit(), true
+	case "default_transaction_read_only":
+		on, _ := parseSwitch(s.value(name))
+		return onOff(on), true
+	}
+	text := s.value(name)
+	_, known := s.settings.session[name]
+	return text, known || text != ""
+}
+
+// value returns a stored setting.
+func (s *session) value(name string) string {
+	if text, ok := s.settings.local[name]; ok {
+		return text
+	}
+	return s.settings.session[name]
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
