--- /dev/null
+++ b/pkg/proxy/environment/change_test.go
@@ -0,0 +1,219 @@
+package environment_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+)
+
+func small(rate int) string {
+	return fmt.Sprintf("environment: demo\naccounts:\n  - {id: a, rate: %d, burst: 1}\n", rate)
+}
+
+func propose(text string, n byte) environment.Proposal {
+	return environment.Proposal{
+		Text:   []byte(text),
+		Author: fmt.Sprintf("author-%d", n),
+		Time:   noon,
+		Nonce:  environment.NewNonce([environment.NonceSize]byte{n}),
+	}
+}
+
+// Guards against documents in production that were not tried, changes that
+// silently overwrite another operator's, and diffs that are missing or wrong.
+func TestTryAndPromote(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newMemory()
+	_, err := environment.Promote(ctx, store, propose(small(1), 1))
+	var notTried *environment.NotTriedError
+	is.True(errors.As(err, &notTried))
+
+	tried, err := environment.Try(ctx, store, propose(small(1), 2))
+	is.NoErr(err)
+	is.Equal(tried.Envelope.Revision, proxy.Revision(1))
+	promoted, err := environment.Promote(ctx, store, propose(small(1), 3))
+	is.NoErr(err)
+	is.Equal(promoted.Envelope.Stage, proxy.Production)
+	again, err := environment.Promote(ctx, store, propose(small(1), 4))
+	is.NoErr(err)
+	is.True(again.Unchanged)
+
+	edited := propose(small(2), 5)
+	edited.From = new(proxy.Revision)
+	*edited.From = 1
+	_, err = environment.Try(ctx, store, edited)
+	is.NoErr(err)
+	late := propose(small(3), 6)
+	late.From = edited.From
+	_, err = environment.Try(ctx, store, late)
+	var conflict *environment.ConflictError
+	is.True(errors.As(err, &conflict))
+	is.True(errors.Is(err, proxy.ErrConflict))
+	is.Equal(conflict.Current.Author, "author-5")
+	is.Equal(conflict.Changes.String(), "limit of account a changed: rate 2 -> 3")
+	_, err = environment.Promote(ctx, store, propose(small(1), 7))
+	is.NoErr(err) // already in production, although no longer in the trial stage
+	_, err = environment.Promote(ctx, store, propose(small(3), 8))
+	is.True(errors.As(err, &notTried))
+}
+
+// Guards against an audit trail that grows without bound or loses revisions
+// within the bound.
+func TestTrailIsBounded(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newMemory()
+	const revisions = environment.AuditSlots + 3
+	for i := range revisions {
+		p := propose(small(i+1), 1)
+		p.Nonce = environment.NewNonce([environment.NonceSize]byte{byte(i), byte(i >> 8)})
+		_, err := environment.Try(ctx, store, p)
+		is.NoErr(err)
+	}
+	is.Equal(len(store.objects), environment.AuditSlots+1)
+	trail, err := environment.ReadTrail(ctx, store, "demo", proxy.Trial)
+	is.NoErr(err)
+	is.Equal(len(trail.Records), environment.AuditSlots)
+	is.Equal(len(trail.Missing), 0)
+	is.Equal(trail.Records[0].Revision, proxy.Revision(revisions))
+	is.Equal(trail.Records[0].Summary.Lines, []string{fmt.Sprintf("limit of account a changed: rate %d -> %d", revisions-1, revisions)})
+}
+
+// outcome is what an operator was told of one change.
+type outcome struct {
+	nonce    environment.Nonce
+	accepted *environment.Accepted
+	err      error
+}
+
+// Guards against changes of concurrent operators that are applied twice,
+// reported as failed although they took effect or as done although they did
+// not, and against lost audit records, under lost and delayed answers and
+// clients that end between two writes.
+func TestConcurrentOperators(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := &scheduler{store: newMemory(), requests: make(chan *request), finished: make(chan struct{})}
+		s.choose = func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(r, label) }
+		operators := rapid.IntRange(2, 3).Draw(r, "operators")
+		changes := rapid.IntRange(1, 4).Draw(r, "changes")
+		outcomes := make([][]outcome, operators)
+		for i := range operators {
+			go func() {
+				defer func() { s.finished <- struct{}{} }()
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				c := &client{scheduler: s, cancel: cancel}
+				for j := range changes {
+					p := propose(small(1+10*i+j), byte(1+10*i+j))
+					accepted, err := environment.Try(ctx, c, p)
+					outcomes[i] = append(outcomes[i], outcome{p.Nonce, accepted, err})
+				}
+			}()
+		}
+		s.run(operators)
+		checkOutcomes(r, s.store, outcomes)
+	})
+}
+
+func checkOutcomes(t *rapid.T, store proxy.Store, outcomes [][]outcome) {
+	trail, err := environment.ReadTrail(context.Background(), store, "demo", proxy.Trial)
+	if err != nil || len(trail.Missing) > 0 {
+		t.Fatalf("trail: %v, missing %v", err, trail)
+	}
+	recorded := map[environment.Nonce]int{}
+	for _, record := range trail.Records {
+		recorded[record.Nonce]++
+	}
+	for _, list := range outcomes {
+		for _, o := range list {
+			want := 0
+			var unresolved *environment.UnresolvedError
+			switch {
+			case errors.As(o.err, &unresolved):
+				want = min(1, recorded[o.nonce])
+			case o.err == nil && !o.accepted.Unchanged:
+				want = 1
+			}
+			if recorded[o.nonce] != want {
+				t.Fatalf("nonce %s recorded %d times, told %+v, %v", o.nonce, recorded[o.nonce], o.accepted, o.err)
+			}
+		}
+	}
+}
+
+// Guards against a change that is reported as failed, or repeated, when its
+// answer was lost and another operator replaced it in the meantime.
+func TestLostAnswerAfterReplacement(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &lossy{memory: newMemory(), lose: 1}
+	store.after = func() {
+		_, err := environment.Try(ctx, store.memory, propose(small(2), 2))
+		is.NoErr(err)
+	}
+	accepted, err := environment.Try(ctx, store, propose(small(1), 1))
+	is.NoErr(err)
+	is.True(accepted.Superseded)
+	is.Equal(accepted.Envelope.Revision, proxy.Revision(1))
+	trail, err := environment.ReadTrail(ctx, store, "demo", proxy.Trial)
+	is.NoErr(err)
+	is.Equal(len(trail.Records), 2)
+}
+
+// lossy loses the answers of the first writes and calls after each.
+type lossy struct {
+	*memory
+	lose  int
+	after func()
+}
+
+func (l *lossy) Put(ctx context.Context, key proxy.Key, value []byte, expected proxy.Version) (proxy.Version, error) {
+	version, err := l.memory.Put(ctx, key, value, expected)
+	if l.lose == 0 {
+		return version, err
+	}
+	l.lose--
+	l.after()
+	return 0, errLost
+}
+
+// Guards against verifiers in differences, summaries and conflicts.
+func TestDiffShowsNoVerifier(t *testing.T) {
+	is := is.New(t)
+	text := example(t, "loom-ledger")
+	from, err := environment.Decode([]byte(text))
+	is.NoErr(err)
+	other, err := environment.DeriveVerifier("other", []byte("salt of the test"))
+	is.NoErr(err)
+	to, err := environment.Decode([]byte(text))
+	is.NoErr(err)
+	to.Accounts[0].Keys[0].Verifier = other.Text()
+	to.Accounts[1].Keys[0].Withdrawn = true
+	to.Accounts = to.Accounts[:7]
+	to.Groups[0].Instances = to.Groups[0].Instances[:2]
+	to.Groups = to.Groups[:2]
+	to.Routes[0].Priority = 2
+	changes := environment.Diff(from, to)
+	is.Equal(changes.String(), strings.Join([]string{
+		"key clerks-bahir-dar-1 changed: verifier replaced",
+		"key clerks-gondar-1 changed: withdrawn false -> true",
+		"account reports removed",
+		"key reports-1 removed",
+		"instance orders/orders-3 removed",
+		"group stock removed",
+		"route payouts changed: priority 8 -> 2",
+	}, "\n"))
+	is.Equal(len(environment.Diff(from, from)), 0)
+	all := environment.Diff(nil, from).String()
+	is.True(!strings.Contains(all, "SCRAM"))
+	is.True(!strings.Contains(fmt.Sprintf("%+v %#v", *from, from.Accounts), "SCRAM"))
+}
--- a/pkg/proxy/environment/decode.go
+++ b/pkg/proxy/environment/decode.go
@@ -15,10 +15,6 @@
 // MaxSize is the limit on a document's text, in bytes.
 const MaxSize = proxy.MaxObjectSize
 
-// maxNesting bounds brackets within brackets. The parser recurses for each one,
-// and a document of the known types needs four.
-const maxNesting = 32
-
 // Decode reads a document and checks it. The error is Problems with every fault
 // found; a text that is not well-formed YAML has only its first syntax error.
 func Decode(text []byte) (*proxy.Document, error) {
@@ -28,9 +24,9 @@
 
 // decode also returns the root of the syntax tree.
 func decode(text []byte) (*proxy.Document, ast.Node, error) {
-	root, problem := parse(text)
-	if problem != nil {
-		return nil, nil, Problems{*problem}
+	root, problems := parse(text)
+	if len(problems) > 0 {
+		return nil, nil, problems
 	}
 	r := &reader{positions: map[string]position{}, failed: map[string]bool{}}
 	document := &proxy.Document{}
@@ -47,13 +43,16 @@
 }
 
 // parse returns the root node of the text's only YAML document.
-func parse(text []byte) (ast.Node, *Problem) {
+func parse(text []byte) (ast.Node, Problems) {
 	if problem := checkText(text); problem != nil {
-		return nil, problem
+		return nil, Problems{*problem}
+	}
+	if problems := scan(text); len(problems) > 0 {
+		return nil, problems
 	}
 	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, syntaxProblem(err)
+		return nil, Problems{syntaxProblem(err)}
 	}
 	var root ast.Node
 	for _, document := range file.Docs {
@@ -62,12 +61,12 @@
 		}
 		if root != nil {
 			at := positionOf(document.Body)
-			return nil, &Problem{Line: at.line, Column: at.column, Value: "a second YAML document", Want: "one"}
+			return nil, Problems{{Line: at.line, Column: at.column, Value: "a second YAML document", Want: "one"}}
 		}
 		root = document.Body
 	}
 	if root == nil {
-		return nil, &Problem{Line: 1, Column: 1, Value: "an empty document", Want: "a mapping"}
+		return nil, Problems{{Line: 1, Column: 1, Value: "an empty document", Want: "a mapping"}}
 	}
 	return root, nil
 }
@@ -77,7 +76,7 @@
 	if len(text) > MaxSize {
 		return &Problem{Line: 1, Column: 1, Value: fmt.Sprintf("%d bytes", len(text)), Want: fmt.Sprintf("at most %d bytes", MaxSize)}
 	}
-	line, column, depth := 1, 0, 0
+	line, column := 1, 0
 	for i := 0; i < len(text); {
 		r, size := utf8.DecodeRune(text[i:])
 		column++
@@ -89,17 +88,9 @@
 		case r < ' ' && r != '\n' && r != '\r' && r != '\t', r == 0x7f:
 			at.Value, at.Want = fmt.Sprintf("control character 0x%02x", r), "printable text"
 			return &at
-		case r == '[' || r == '{':
-			depth++
-		case r == ']' || r == '}':
-			depth = max(depth-1, 0)
 		case r == '\n':
 			line, column = line+1, 0
 		}
-		if depth > maxNesting {
-			at.Value, at.Want = "deep nesting", fmt.Sprintf("at most %d brackets within one another", maxNesting)
-			return &at
-		}
 		i += size
 	}
 	return nil
@@ -107,8 +98,8 @@
 
 // syntaxProblem describes a parser's error without the source lines that the
 // parser would print, because they may hold verifiers.
-func syntaxProblem(err error) *Problem {
-	problem := &Problem{Line: 1, Column: 1, Value: "syntax error", Want: "well-formed YAML"}
+func syntaxProblem(err error) Problem {
+	problem := Problem{Line: 1, Column: 1, Value: "syntax error", Want: "well-formed YAML"}
 	var syntax yaml.Error
 	if !errors.As(err, &syntax) {
 		return problem
--- a/pkg/proxy/environment/decode_test.go
+++ b/pkg/proxy/environment/decode_test.go
@@ -71,6 +71,8 @@
 		"size":     strings.Repeat("#", environment.MaxSize+1),
 		"brackets": "environment: " + strings.Repeat("[", 1000),
 		"blocks":   strings.Repeat("- ", 1000),
+		"keys":     strings.Repeat("a: |\n", 1000),
+		"flow":     "{" + strings.Repeat("a: 1, ", 1000) + "}",
 		"binary":   "environment: \xff",
 		"control":  "environment: \x00",
 		"two":      "environment: a\n---\nenvironment: b\n",
--- /dev/null
+++ b/pkg/proxy/environment/store_test.go
@@ -0,0 +1,181 @@
+package environment_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+var errLost = errors.New("answer lost")
+
+// memory is a Store for one goroutine at a time.
+type memory struct {
+	objects map[proxy.Key]proxy.Object
+	version proxy.Version
+}
+
+func newMemory() *memory { return &memory{objects: map[proxy.Key]proxy.Object{}} }
+
+func (m *memory) Get(_ context.Context, key proxy.Key) (proxy.Object, error) {
+	object, ok := m.objects[key]
+	if !ok {
+		return proxy.Object{}, proxy.ErrNotFound
+	}
+	return object, nil
+}
+
+func (m *memory) Put(_ context.Context, key proxy.Key, value []byte, expected proxy.Version) (proxy.Version, error) {
+	if m.objects[key].Version != expected {
+		return 0, proxy.ErrConflict
+	}
+	m.version++
+	m.objects[key] = proxy.Object{Key: key, Value: value, Version: m.version}
+	return m.version, nil
+}
+
+func (m *memory) List(_ context.Context, prefix proxy.Key) ([]proxy.Object, error) {
+	var found []proxy.Object
+	for key, object := range m.objects {
+		if strings.HasPrefix(string(key), string(prefix)) {
+			found = append(found, object)
+		}
+	}
+	slices.SortFunc(found, func(a, b proxy.Object) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	return found, nil
+}
+
+func (m *memory) Watch(context.Context, proxy.Key, proxy.Version) ([]proxy.Object, error) {
+	return nil, errors.New("not used")
+}
+
+// fault is what happens to one call.
+type fault int
+
+const (
+	answered fault = iota
+	refused        // fails before it takes effect
+	lost           // takes effect, the answer is lost
+	delayed        // the answer is lost, a write takes effect later or never
+	died           // the client ends
+	faults
+)
+
+// scheduler serves the calls of several clients in the order and with the
+// faults that choose returns. It lets a call through only when every client
+// waits for one, so that a schedule is the same on each run.
+type scheduler struct {
+	store    *memory
+	choose   func(label string, n int) int
+	requests chan *request
+	finished chan struct{}
+	late     []func()
+}
+
+type request struct {
+	client *client
+	run    func() error
+	err    chan error
+}
+
+type client struct {
+	*scheduler
+	cancel context.CancelFunc
+	dead   bool
+}
+
+func (s *scheduler) run(active int) {
+	var waiting []*request
+	for active > 0 {
+		for len(waiting) < active {
+			select {
+			case r := <-s.requests:
+				waiting = append(waiting, r)
+			case <-s.finished:
+				active--
+			}
+		}
+		if active == 0 {
+			break
+		}
+		i := s.choose("client", len(waiting))
+		r := waiting[i]
+		waiting = slices.Delete(waiting, i, i+1)
+		r.err <- s.serve(r)
+	}
+	s.flush()
+}
+
+// flush lets the delayed writes take effect.
+func (s *scheduler) flush() {
+	for _, write := range s.late {
+		write()
+	}
+	s.late = nil
+}
+
+func (s *scheduler) serve(r *request) error {
+	if r.client.dead {
+		return errLost
+	}
+	// Half of the calls are answered without a fault.
+	kind := fault(max(0, s.choose("fault", 2*int(faults))-int(faults)))
+	switch kind {
+	case refused:
+		return errLost
+	case lost:
+		_ = r.run()
+		return errLost
+	case delayed:
+		s.late = append(s.late, func() { _ = r.run() })
+		return errLost
+	case died:
+		_ = r.run()
+		r.client.dead = true
+		r.client.cancel()
+		return errLost
+	}
+	if s.choose("late", 4) == 0 {
+		s.flush()
+	}
+	return r.run()
+}
+
+func (c *client) call(run func() error) error {
+	r := &request{client: c, run: run, err: make(chan error)}
+	c.requests <- r
+	return <-r.err
+}
+
+func (c *client) Get(ctx context.Context, key proxy.Key) (object proxy.Object, err error) {
+	err = c.call(func() error {
+		var err error
+		object, err = c.store.Get(ctx, key)
+		return err
+	})
+	return object, err
+}
+
+func (c *client) Put(ctx context.Context, key proxy.Key, value []byte, expected proxy.Version) (version proxy.Version, err error) {
+	// A delayed write may run after Put returned, so it must not set the results.
+	answer := make(chan proxy.Version, 1)
+	err = c.call(func() error {
+		version, err := c.store.Put(ctx, key, value, expected)
+		answer <- version
+		return err
+	})
+	if err == nil {
+		version = <-answer
+	}
+	return version, err
+}
+
+func (c *client) List(ctx context.Context, prefix proxy.Key) ([]proxy.Object, error) {
+	return c.store.List(ctx, prefix)
+}
+
+func (c *client) Watch(ctx context.Context, prefix proxy.Key, after proxy.Version) ([]proxy.Object, error) {
+	return c.store.Watch(ctx, prefix, after)
+}
