Serve PostgreSQL clients through loans of instance connections

Package front authenticates clients, keeps their sessions and runs each transaction on one loan. Package statement classifies SQL text by its tokens. Lent gains Connection, since a session that has used several connections cannot tell from Same which of its states a connection has.

--- /dev/null
+++ b/internal/front/extended.go
@@ -0,0 +1,315 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/auburnyoke/auburnyoke/internal/statement"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// batchSize is the number of bytes that are sent ahead of replies. An instance
+// that waits for its replies to be read stops reading, so what is sent ahead
+// must fit the sockets' buffers.
+const batchSize = 16 << 10 // bytes
+
+// batch holds the messages since the last Sync that were not sent yet.
+type batch struct {
+	messages []byte
+	requests []request
+	// sent reports that messages since the last Sync were sent.
+	sent bool
+}
+
+func (b *batch) empty() bool { return len(b.requests) == 0 }
+
+// stage adds a message to the batch. What the batch holds is sent first if it
+// would become too long.
+func (s *session) stage(message pgproto3.FrontendMessage, r request) error {
+	start := len(s.batch.messages)
+	encoded, err := message.Encode(s.batch.messages)
+	if err != nil {
+		return &fatal{proxy.Refuse(proxy.ProtocolViolation, "malformed message: %v", err)}
+	}
+	if start == 0 || len(encoded) <= batchSize {
+		s.batch.messages = encoded
+		s.batch.requests = append(s.batch.requests, r)
+		return nil
+	}
+	last := slices.Clone(encoded[start:])
+	if err := s.flushBatch(); err != nil {
+		return err
+	}
+	if s.skipping {
+		s.undo([]request{r})
+		return nil
+	}
+	s.batch.messages = last
+	s.batch.requests = append(s.batch.requests, r)
+	return nil
+}
+
+func (s *session) parse(m *pgproto3.Parse) error {
+	statements := statement.Classify(m.Query)
+	if refusal := s.examine(statements); refusal != nil {
+		return s.refuseBatch(refusal)
+	}
+	if _, replaces := s.state.statements[m.Name]; !replaces && len(s.state.statements) >= s.server.Limits.Statements {
+		return s.refuseBatch(proxy.Refuse(proxy.ConfigurationLimit,
+			"too many prepared statements: at most %d", s.server.Limits.Statements))
+	}
+	d := &definition{name: m.Name, query: m.Query, oids: slices.Clone(m.ParameterOIDs), statements: statements}
+	r := request{kind: askParse, name: m.Name, definition: d, previous: s.state.define(d)}
+	return s.stage(m, r)
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	d := s.state.statements[m.PreparedStatement]
+	if s.state.portals == nil {
+		s.state.portals = make(map[string]*definition)
+	}
+	s.state.portals[m.DestinationPortal] = d
+	return s.stage(m, request{kind: askBind, name: m.PreparedStatement, definition: d})
+}
+
+func (s *session) describe(m *pgproto3.Describe) error {
+	switch m.ObjectType {
+	case 'S':
+		return s.stage(m, request{kind: askDescribeStatement, name: m.Name, definition: s.state.statements[m.Name]})
+	case 'P':
+		return s.stage(m, request{kind: askDescribePortal, name: m.Name})
+	}
+	return s.refuseBatch(proxy.Refuse(proxy.ProtocolViolation, "Describe of object type %q: want S or P", m.ObjectType))
+}
+
+func (s *session) closeObject(m *pgproto3.Close) error {
+	switch m.ObjectType {
+	case 'S':
+		previous := s.state.statements[m.Name]
+		delete(s.state.statements, m.Name)
+		return s.stage(m, request{kind: askClose, name: m.Name, previous: previous})
+	case 'P':
+		return s.stage(m, request{kind: askClose})
+	}
+	return s.refuseBatch(proxy.Refuse(proxy.ProtocolViolation, "Close of object type %q: want S or P", m.ObjectType))
+}
+
+func (s *session) execute(m *pgproto3.Execute) error {
+	var statements []statement.Statement
+	if d := s.state.portals[m.Portal]; d != nil {
+		statements = d.statements
+	}
+	if refusal := s.examine(statements); refusal != nil {
+		return s.refuseBatch(refusal)
+	}
+	if err := s.admit(statements); err != nil {
+		return s.failBatch(err)
+	}
+	s.server.metrics.statements.Inc(1)
+	return s.stage(m, request{kind: askExecute, name: m.Portal, statements: statements})
+}
+
+// flushBatch sends what the batch holds and relays the replies.
+func (s *session) flushBatch() error {
+	if s.batch.empty() {
+		return s.out.flush()
+	}
+	if err := s.transmit(&pgproto3.Flush{}); err != nil {
+		return s.failBatch(err)
+	}
+	if err := s.relay(); err != nil {
+		return err
+	}
+	return s.out.flush()
+}
+
+// sync ends a batch.
+func (s *session) sync() error {
+	if s.batch.empty() && s.loan == nil {
+		return s.syncLocally()
+	}
+	s.batch.requests = append(s.batch.requests, request{kind: askSync})
+	if err := s.transmit(&pgproto3.Sync{}); err != nil {
+		if err := s.failBatch(err); err != nil {
+			return err
+		}
+		return s.syncLocally()
+	}
+	return s.relay()
+}
+
+// syncLocally answers Sync where there is no loan.
+func (s *session) syncLocally() error {
+	s.conclude()
+	s.state.ended(false)
+	clear(s.state.portals)
+	return s.sendReady()
+}
+
+// transmit sends the batch, followed by a Flush or Sync.
+func (s *session) transmit(end pgproto3.FrontendMessage) error {
+	if s.loan == nil {
+		if err := s.borrow(s.access(s.batchReadOnly())); err != nil {
+			return err
+		}
+	}
+	s.reparse()
+	frontend := s.loan.frontend
+	frontend.Send(raw(s.batch.messages))
+	frontend.Send(end)
+	for _, r := range s.batch.requests {
+		s.mark(&r)
+		s.queue = append(s.queue, r)
+	}
+	s.batch.requests = s.batch.requests[:0]
+	s.batch.messages = nil
+	s.batch.sent = true
+	if err := s.push(); err != nil {
+		return &lost{err}
+	}
+	return nil
+}
+
+// batchReadOnly reports whether the batch begins a read-only transaction and
+// does not end it.
+func (s *session) batchReadOnly() bool {
+	first := true
+	for _, r := range s.batch.requests {
+		if r.kind != askExecute {
+			continue
+		}
+		if first && !beginsReadOnly(r.statements) {
+			return false
+		}
+		if !first && changesTransaction(r.statements) {
+			return false
+		}
+		first = false
+	}
+	return !first
+}
+
+func changesTransaction(statements []statement.Statement) bool {
+	for _, one := range statements {
+		if one.Kind == statement.Commit || one.Kind == statement.Rollback || one.ReadWrite {
+			return true
+		}
+	}
+	return false
+}
+
+// mark notes what a request changes on the loan's connection.
+func (s *session) mark(r *request) {
+	parsed := s.loan.state.parsed
+	switch {
+	case r.kind == askExecute:
+		s.loan.executed = true
+	case r.kind == askParse:
+		r.parsed = parsed[r.name]
+		parsed[r.name] = r.definition
+	case r.kind == askClose && r.previous != nil:
+		r.parsed = parsed[r.name]
+		delete(parsed, r.name)
+	}
+}
+
+// reparse sends the prepared statements that the batch uses and that the
+// loan's connection does not have.
+func (s *session) reparse() {
+	seen := make(map[string]bool)
+	for _, r := range s.batch.requests {
+		d := r.definition
+		switch r.kind {
+		case askParse:
+			d = r.previous
+			if r.name == "" {
+				d = nil
+			}
+		case askBind, askDescribeStatement:
+		case askClose:
+			d = nil
+		default:
+			continue
+		}
+		if d != nil && !seen[r.name] && s.loan.state.parsed[r.name] != d {
+			s.reparseOne(d)
+		}
+		seen[r.name] = true
+	}
+}
+
+func (s *session) reparseOne(d *definition) {
+	if d.name != "" && s.loan.state.parsed[d.name] != nil {
+		s.loan.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: d.name})
+		s.queue = append(s.queue, request{kind: askClose, hidden: true})
+	}
+	s.loan.frontend.Send(d.message())
+	r := request{kind: askParse, hidden: true, name: d.name, definition: d}
+	s.mark(&r)
+	r.parsed = nil
+	s.queue = append(s.queue, r)
+}
+
+// undo takes back what requests without a reply have changed, newest first.
+func (s *session) undo(requests []request) {
+	for i := len(requests) - 1; i >= 0; i-- {
+		r := requests[i]
+		isStatement := r.kind == askParse || r.kind == askClose && r.previous != nil
+		if !isStatement {
+			continue
+		}
+		if !r.hidden {
+			s.state.undefine(r.name, r.previous)
+		}
+		if s.loan == nil || s.loan.state == nil {
+			continue
+		}
+		if r.parsed == nil || r.name == "" {
+			delete(s.loan.state.parsed, r.name)
+			continue
+		}
+		s.loan.state.parsed[r.name] = r.parsed
+	}
+}
+
+// failBatch answers a batch that could not be sent.
+func (s *session) failBatch(err error) error {
+	var broken *lost
+	if errors.As(err, &broken) {
+		return s.lose(broken.err)
+	}
+	var refusal *proxy.Refusal
+	if errors.As(err, &refusal) {
+		return s.refuseBatch(refusal)
+	}
+	return err
+}
+
+// refuseBatch answers the batch with an error and skips to Sync. What was not
+// sent is dropped; a transaction on the instance fails.
+func (s *session) refuseBatch(refusal *proxy.Refusal) error {
+	s.undo(s.batch.requests)
+	s.batch.requests = s.batch.requests[:0]
+	s.batch.messages = nil
+	s.skipping = true
+	if s.loan != nil && s.status != statusFailed {
+		s.loan.frontend.Send(&pgproto3.Parse{Name: "auburnyoke", Query: failing})
+		s.loan.frontend.Send(&pgproto3.Flush{})
+		s.queue = append(s.queue, request{kind: askFailure, hidden: true})
+		s.batch.sent = true
+		if err := s.push(); err != nil {
+			return s.lose(err)
+		}
+		if err := s.relay(); err != nil || s.loan == nil {
+			return err
+		}
+	}
+	s.server.metrics.refused(refusal)
+	if err := s.out.send(response(refusal, severityError)); err != nil {
+		return fmt.Errorf("refuse: %w", err)
+	}
+	return s.out.flush()
+}
--- /dev/null
+++ b/internal/front/limits.go
@@ -0,0 +1,61 @@
+package front
+
+import "time"
+
+// Limits bound what one client can hold. A zero field takes its default.
+type Limits struct {
+	// Sessions is the number of client connections.
+	Sessions int
+	// Message is the length of a client message in bytes.
+	Message int
+	// Statements is the number of prepared statements of a session.
+	Statements int
+	// Settings is the number of settings that a session has changed.
+	Settings int
+	// Authentication limits the time from accept to ReadyForQuery.
+	Authentication time.Duration
+	// Idle limits the wait for the next message inside a transaction.
+	Idle time.Duration
+	// Patience limits the wait for a loan on routes without a timeout.
+	Patience time.Duration
+	// Cancel is the time between the cancel of a statement that exceeds its
+	// route's timeout and the broken release.
+	Cancel time.Duration
+	// Grace is how long running transactions may take after Run's context ends.
+	Grace time.Duration
+	// Farewell limits the writing of a last error message to a client.
+	Farewell time.Duration
+}
+
+const (
+	defaultSessions       = 20_000
+	defaultMessage        = 64 << 20 // bytes
+	defaultStatements     = 1_000
+	defaultSettings       = 200
+	defaultAuthentication = 10 * time.Second
+	defaultIdle           = 5 * time.Minute
+	defaultPatience       = 10 * time.Second
+	defaultCancel         = time.Second
+	defaultGrace          = 30 * time.Second
+	defaultFarewell       = time.Second
+)
+
+func (l *Limits) fill() {
+	fill(&l.Sessions, defaultSessions)
+	fill(&l.Message, defaultMessage)
+	fill(&l.Statements, defaultStatements)
+	fill(&l.Settings, defaultSettings)
+	fill(&l.Authentication, defaultAuthentication)
+	fill(&l.Idle, defaultIdle)
+	fill(&l.Patience, defaultPatience)
+	fill(&l.Cancel, defaultCancel)
+	fill(&l.Grace, defaultGrace)
+	fill(&l.Farewell, defaultFarewell)
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/pkg/proxy/lender.go
+++ b/pkg/proxy/lender.go
@@ -67,6 +67,10 @@
 	// Same reports that the connection was last used by the asking session and
 	// still has the state that the session left on it.
 	Same bool `cbor:"4,keyasint"`
+	// Connection is a random number drawn when the connection was opened. It
+	// tells a session which of the states that it left is on the connection;
+	// zero where it is not known.
+	Connection uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Return tells the pool in which state a connection comes back.
@@ -78,7 +82,9 @@
 }
 
 // Loan is the exclusive use of one instance connection until Release. It
-// belongs to one goroutine at a time.
+// belongs to one goroutine at a time, except that another goroutine may call
+// Cancel, or Release with Broken; the latter makes a Receive, Flush or Confirm
+// that is in progress return an error.
 type Loan interface {
 	// Lent describes the connection.
 	Lent() Lent
