--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -21,6 +18,9 @@
 // is not idle.
 var errNotIdle = eris.New("connection is not idle")
 
+// applicationName is what the instances show for the pool's connections.
+const applicationName = "auburnyoke"
+
 // wire is an instance connection whose protocol state is followed.
 type wire struct {
 	net.Conn
@@ -62,8 +62,6 @@
 	session owner
 	// used is the instant of the last use or the end of the dialling.
 	used proxy.Instant
-	// dialled is the instant before the dialling.
-	dialled proxy.Instant
 }
 
 // owner identifies a session over all accounts. The zero owner stands for a
@@ -87,7 +85,10 @@
 	config.Database = database
 	config.User = c.user
 	config.Password = c.password
+	// The environment of the process must not change the connection.
 	config.Fallbacks = nil
+	config.ValidateConnect = nil
+	config.RuntimeParams = map[string]string{"application_name": applicationName}
 	var w *wire
 	config.AfterNetConnect = func(_ context.Context, _ *pgconn.Config, conn net.Conn) (net.Conn, error) {
 		w = &wire{Conn: conn}
@@ -120,7 +121,9 @@
 
 // close closes the connection. The instance rolls back an open transaction.
 func (c *connection) close() {
-	_ = c.wire.Close()
+	if c.wire != nil {
+		_ = c.wire.Close()
+	}
 }
 
 // query runs one statement of the pool's own and returns the text of the first
@@ -187,34 +190,3 @@
 	}
 	return row
 }
-
-// cancelRequestCode identifies a CancelRequest in place of a protocol version.
-const cancelRequestCode = 80877102
-
-// cancel sends a cancel request for the connection on a connection of its own,
-// which the instance closes without an answer.
-func (c *connection) cancel(ctx context.Context) error {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", c.address)
-	if err != nil {
-		return fmt.Errorf("connect for cancel: %w", err)
-	}
-	defer func() { _ = conn.Close() }()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = conn.SetDeadline(deadline)
-	}
-	if _, err = conn.Write(cancelRequest(c.pid, c.secret)); err != nil {
-		return fmt.Errorf("send cancel: %w", err)
-	}
-	if _, err = conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
-		return fmt.Errorf("wait for cancel: %w", err)
-	}
-	return nil
-}
-
-func cancelRequest(pid uint32, secret []byte) []byte {
-	request := binary.BigEndian.AppendUint32(nil, uint32(12+len(secret)))
-	request = binary.BigEndian.AppendUint32(request, cancelRequestCode)
-	request = binary.BigEndian.AppendUint32(request, pid)
-	return append(request, secret...)
-}
--- a/internal/pool/document.go
+++ b/internal/pool/document.go
@@ -2,11 +2,12 @@
 
 import (
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/queue"
 )
 
 // reconcile adopts the document in force and the current shares.
 func (p *Pool) reconcile() {
-	document, revision := p.Catalog.Current()
+	document, _ := p.Catalog.Current()
 	if document == nil {
 		return
 	}
@@ -18,63 +19,73 @@
 			p.adopt(group, &group.Instances[n])
 		}
 	}
-	p.mu.Lock()
-	p.document, p.revision = document, revision
-	var gone []*instance
-	for k, i := range p.instances {
-		if !wanted[k] {
-			gone = append(gone, i)
-			delete(p.instances, k)
+	for _, i := range p.all() {
+		if !wanted[key{i.group, i.id}] {
+			p.drop(i)
 		}
+		p.expire(i)
 	}
-	p.mu.Unlock()
-	for _, i := range gone {
-		p.retire(i)
-	}
+	p.changes.announce()
 }
 
 // adopt creates or changes what the pool holds for one instance.
 func (p *Pool) adopt(group *proxy.Group, described *proxy.Instance) {
-	k := key{group.ID, described.ID}
 	address := described.AddressIn(p.Stage)
-	p.mu.Lock()
-	i := p.instances[k]
-	var replaced *instance
-	if i == nil || i.address != address || i.database != group.Database {
-		replaced = i
-		i = &instance{group: group.ID, id: described.ID, zone: described.Zone, address: address, database: group.Database}
-		if p.instances == nil {
-			p.instances = make(map[key]*instance)
-		}
-		p.instances[k] = i
+	i := p.find(group.ID, described.ID)
+	if i != nil && (i.address != address || i.database != group.Database || i.zone != described.Zone) {
+		p.drop(i)
+		i = nil
 	}
-	p.mu.Unlock()
-	if replaced != nil {
-		p.retire(replaced)
+	if i == nil {
+		i = p.add(&instance{
+			group:    group.ID,
+			id:       described.ID,
+			zone:     described.Zone,
+			address:  address,
+			database: group.Database,
+			gone:     make(chan struct{}),
+			waiting:  queue.New[*waiter](p.Queue),
+		})
 	}
+	p.resize(i, p.Share(group.ID), group.Slots, described.Leaving)
 	if described.Leaving {
 		p.retire(i)
-		return
 	}
-	p.resize(i, p.Share(group.ID), group.Slots)
+}
+
+// add keeps a new instance and starts its monitor.
+func (p *Pool) add(i *instance) *instance {
+	p.mu.Lock()
+	if p.instances == nil {
+		p.instances = make(map[key]*instance)
+	}
+	p.instances[key{i.group, i.id}] = i
+	p.mu.Unlock()
+	p.spawn(func() { p.monitor(i) })
+	return i
+}
+
+// drop forgets an instance that left the document or changed its address.
+func (p *Pool) drop(i *instance) {
+	p.mu.Lock()
+	delete(p.instances, key{i.group, i.id})
+	p.mu.Unlock()
+	close(i.gone)
+	p.retire(i)
+	p.states.forget(i.group, i.id)
 }
 
 // resize applies the share and the slots and closes idle connections above the
 // share.
-func (p *Pool) resize(i *instance, share, slots int) {
+func (p *Pool) resize(i *instance, share, slots int, leaving bool) {
 	if slots <= 0 {
 		slots = share
 	}
 	i.mu.Lock()
-	i.leaving = false
+	i.leaving = leaving
 	i.share = share
 	i.slots = slots
-	var surplus []*connection
-	for i.open > share && len(i.idle) > 0 {
-		surplus = append(surplus, i.idle[0])
-		i.idle = i.idle[1:]
-		i.open--
-	}
+	surplus := i.surplus()
 	dials := i.grant()
 	i.mu.Unlock()
 	closeAll(surplus)
@@ -88,12 +99,22 @@
 	idle := i.idle
 	i.idle = nil
 	i.open -= len(idle)
-	waiting := i.waiting
-	i.waiting = nil
+	waiting := i.waiting.Clear()
 	i.mu.Unlock()
 	closeAll(idle)
-	for _, w := range waiting {
-		w.granted <- nil
+	for _, item := range waiting {
+		item.Value.granted <- result{err: errMoved}
+	}
+}
+
+// expire refuses the requests that waited longer than the queue allows.
+func (p *Pool) expire(i *instance) {
+	now := p.Clock.Now()
+	i.mu.Lock()
+	expired := i.waiting.Expire(now)
+	i.mu.Unlock()
+	for _, item := range expired {
+		item.Value.granted <- result{err: p.busy("the wait for instance %s of group %s was too long", i.id, i.group)}
 	}
 }
 
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -2,25 +2,27 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/queue"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/routing"
 )
 
 const (
-	resetStatement = "DISCARD ALL"
-	// probeStatement is the empty statement, the cheapest round trip.
-	probeStatement = ""
 	// retryAfter is what callers are told when no connection was free in time.
 	retryAfter = 100 * time.Millisecond
-	// dialPause is the pause after a failed dial; it doubles up to dialPauseMax.
-	dialPause    = 50 * time.Millisecond
-	dialPauseMax = time.Second
+	// recheck is the interval at which a waiting request looks at the leadership
+	// again. The time without a primary after a promotion contains it once.
+	recheck = 20 * time.Millisecond
 )
 
+// errMoved tells a waiter to choose an instance again.
+var errMoved = eris.New("the instance does not suit the request any more")
+
 // Lend implements proxy.Lender.
 func (p *Pool) Lend(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
 	select {
@@ -34,103 +36,149 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	i, lent, err := p.choose(ask)
-	if err != nil {
-		return nil, err
+	for {
+		i, lent, err := p.choose(ctx, ask)
+		if err != nil {
+			return nil, err
+		}
+		loan, err := p.lendFrom(ctx, i, lent, ask)
+		if !eris.Is(err, errMoved) {
+			return loan, err
+		}
 	}
-	return p.lendFrom(ctx, i, lent, ask)
 }
 
-// choose returns the instance for an ask.
-func (p *Pool) choose(ask proxy.Ask) (*instance, proxy.Lent, error) {
-	leadership, known := p.Leaders.Leader(ask.Group)
-	if !known {
-		return nil, proxy.Lent{}, p.busy("group %s has no known primary", ask.Group)
-	}
-	i := p.find(ask.Group, leadership.Primary)
-	if i == nil {
-		return nil, proxy.Lent{}, p.busy("instance %s of group %s is not in the document", leadership.Primary, ask.Group)
+// choose waits until there is an instance for the ask.
+func (p *Pool) choose(ctx context.Context, ask proxy.Ask) (*instance, proxy.Lent, error) {
+	for {
+		changed := p.changes.wait()
+		choice := p.choice(ask)
+		if choice.Kind == routing.Refuse {
+			return nil, proxy.Lent{}, p.busy("group %s: %s", ask.Group, choice.Reason)
+		}
+		if choice.Kind != routing.Wait {
+			lent := proxy.Lent{Instance: choice.Instance, Primary: choice.Kind == routing.Primary, Term: choice.Term}
+			if i := p.find(ask.Group, choice.Instance); i != nil {
+				return i, lent, nil
+			}
+		}
+		timer := time.NewTimer(recheck)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, proxy.Lent{}, p.busy("group %s: %s", ask.Group, choice.Reason)
+		}
+		timer.Stop()
 	}
-	return i, proxy.Lent{Instance: i.id, Primary: true, Term: leadership.Term}, nil
 }
 
-// lendFrom lends a connection of the instance that is reset and, where needed,
-// probed. A connection that fails is replaced by one dialled afterwards, so that
-// one silent connection is told from a dead instance.
+// choice asks the routing for an instance.
+func (p *Pool) choice(ask proxy.Ask) routing.Choice {
+	leadership, known := p.Leaders.Leader(ask.Group)
+	states, slots := p.candidates(ask.Group)
+	return routing.Choose(p.Clock.Now(), ask, routing.Table{
+		Leadership: leadership,
+		Known:      known,
+		States:     states,
+		Zone:       p.Zone,
+		Slots:      slots,
+		Horizon:    p.Horizon,
+	})
+}
+
+// lendFrom lends a connection of the instance. It returns errMoved when another
+// instance must be chosen.
 func (p *Pool) lendFrom(ctx context.Context, i *instance, lent proxy.Lent, ask proxy.Ask) (proxy.Loan, error) {
-	w := &waiter{owner: owner{ask.Account, ask.Session}, granted: make(chan *connection, 1)}
+	o := owner{ask.Account, ask.Session}
 	for {
-		c, err := p.acquire(ctx, i, w)
+		c, err := p.acquire(ctx, i, lent, ask)
 		if err != nil {
 			return nil, err
 		}
-		lent.Same = ask.Session != 0 && c.session == w.owner
-		if err = p.prepare(ctx, c, lent.Same); err == nil {
-			c.session = w.owner
-			return &loan{pool: p, instance: i, conn: c, lent: lent}, nil
+		lent.Same = o.session != 0 && c.session == o
+		c, err = p.prepare(ctx, i, c, &lent)
+		if err != nil {
+			return nil, err
 		}
-		p.count("pool.discarded")
-		p.Logger.Warn().Err(err).Str("group", string(i.group)).Str("instance", string(i.id)).Msg("connection discarded")
-		w.after = p.Clock.Now()
-		p.takeBack(i, c, proxy.Return{Broken: true})
+		if c == nil {
+			continue
+		}
+		c.session = o
+		if p.unfit(i, lent) {
+			p.takeBack(i, c, proxy.Return{})
+			return nil, errMoved
+		}
+		return &loan{pool: p, instance: i, conn: c, lent: lent}, nil
 	}
 }
 
-// prepare probes a connection that was unused for long and resets one that
-// another session used.
-func (p *Pool) prepare(ctx context.Context, c *connection, same bool) error {
-	if !c.idle() {
-		return errNotIdle
-	}
-	ctx, cancel := context.WithTimeout(ctx, p.ProbeTimeout)
-	defer cancel()
-	if !same && c.session != (owner{}) {
-		if _, err := c.query(ctx, resetStatement); err != nil {
-			return fmt.Errorf("reset: %w", err)
-		}
-		return nil
+// acquire waits in the instance's queue for a connection.
+func (p *Pool) acquire(ctx context.Context, i *instance, lent proxy.Lent, ask proxy.Ask) (*connection, error) {
+	w := &waiter{owner: owner{ask.Account, ask.Session}, granted: make(chan result, 1)}
+	item := &queue.Item[*waiter]{Account: ask.Account, Weight: ask.Weight, Priority: ask.Priority, Value: w}
+	if err := p.enqueue(i, item); err != nil {
+		return nil, err
 	}
-	if p.Clock.Now().Sub(c.used) < p.ProbeAfter {
-		return nil
+	select {
+	case r := <-w.granted:
+		return r.conn, r.err
+	default:
 	}
-	if _, err := c.query(ctx, probeStatement); err != nil {
-		return fmt.Errorf("probe: %w", err)
+	ticker := time.NewTicker(recheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-w.granted:
+			return r.conn, r.err
+		case <-ticker.C:
+			if p.unfit(i, lent) {
+				return nil, p.leave(i, item, errMoved)
+			}
+		case <-ctx.Done():
+			return nil, p.leave(i, item, p.busy("no connection to instance %s of group %s was free in time", i.id, i.group))
+		}
 	}
-	return nil
 }
 
-// acquire waits for a connection of the instance.
-func (p *Pool) acquire(ctx context.Context, i *instance, w *waiter) (*connection, error) {
+// enqueue adds a waiter to the instance's queue.
+func (p *Pool) enqueue(i *instance, item *queue.Item[*waiter]) error {
+	now := p.Clock.Now()
 	i.mu.Lock()
 	if i.leaving {
 		i.mu.Unlock()
-		return nil, p.busy("instance %s of group %s is leaving", i.id, i.group)
+		return errMoved
 	}
-	i.waiting = append(i.waiting, w)
+	left := i.waiting.Push(now, item)
 	dials := i.grant()
 	i.mu.Unlock()
 	p.dial(i, dials)
-	select {
-	case c := <-w.granted:
-		return p.accept(i, c)
-	case <-ctx.Done():
+	if left != nil {
+		left.Value.granted <- result{err: p.busy("the queue of instance %s of group %s is full", i.id, i.group)}
 	}
+	return nil
+}
+
+// leave takes a waiter out of the queue and returns err. A connection that was
+// granted at the same time is given back.
+func (p *Pool) leave(i *instance, item *queue.Item[*waiter], err error) error {
 	i.mu.Lock()
-	waiting := i.forget(w)
+	waiting := i.waiting.Remove(item)
 	i.mu.Unlock()
-	if !waiting {
-		if c := <-w.granted; c != nil {
-			p.takeBack(i, c, proxy.Return{})
-		}
+	if waiting {
+		return err
+	}
+	if r := <-item.Value.granted; r.conn != nil {
+		p.takeBack(i, r.conn, proxy.Return{})
 	}
-	return nil, p.busy("no connection to instance %s of group %s was free in time", i.id, i.group)
+	return err
 }
 
-func (p *Pool) accept(i *instance, c *connection) (*connection, error) {
-	if c == nil {
-		return nil, p.busy("instance %s of group %s is leaving", i.id, i.group)
-	}
-	return c, nil
+// unfit reports that the leadership has changed since the instance was chosen.
+func (p *Pool) unfit(i *instance, lent proxy.Lent) bool {
+	leadership, known := p.Leaders.Leader(i.group)
+	return !known || leadership.Term != lent.Term || lent.Primary && leadership.Primary != i.id
 }
 
 // busy returns the refusal of a request that may be tried again.
@@ -147,100 +195,22 @@
 
 // takeBack returns a lent connection to the instance or closes it.
 func (p *Pool) takeBack(i *instance, c *connection, r proxy.Return) {
+	usable := !r.Broken && c.idle() && p.ctx.Err() == nil
 	now := p.Clock.Now()
-	keep := !r.Broken && c.idle()
 	i.mu.Lock()
 	if !c.lent {
 		i.mu.Unlock()
 		p.violation("connection returned that was not lent", i)
-		c.close()
 		return
 	}
 	c.lent = false
 	c.used = now
 	i.lent--
-	keep = keep && !i.leaving && i.open <= i.share && p.ctx.Err() == nil
-	if keep {
-		i.idle = append(i.idle, c)
-	} else {
-		i.open--
-	}
+	kept := i.keep(c, usable)
 	dials := i.grant()
 	i.mu.Unlock()
-	if !keep {
+	if !kept {
 		c.close()
 	}
 	p.dial(i, dials)
 }
-
-// dial opens connections in the background. They are counted already.
-func (p *Pool) dial(i *instance, number int) {
-	for range number {
-		p.tasks.Add(1)
-		go func() {
-			defer p.tasks.Done()
-			p.dialOne(i)
-		}()
-	}
-}
-
-func (p *Pool) dialOne(i *instance) {
-	p.pause(i)
-	dialled := p.Clock.Now()
-	ctx, cancel := context.WithTimeout(p.ctx, p.DialTimeout)
-	defer cancel()
-	c, err := dial(ctx, i.address, i.database, credentials{p.User, p.Password})
-	if err != nil {
-		p.count("pool.dial.failed")
-		p.Logger.Warn().Err(err).Str("group", string(i.group)).Str("instance", string(i.id)).Msg("cannot connect")
-		p.dialFailed(i)
-		return
-	}
-	c.dialled = dialled
-	c.used = p.Clock.Now()
-	i.mu.Lock()
-	i.dialing--
-	i.failures = 0
-	keep := !i.leaving && i.open <= i.share && p.ctx.Err() == nil
-	if keep {
-		i.idle = append(i.idle, c)
-	} else {
-		i.open--
-	}
-	dials := i.grant()
-	i.mu.Unlock()
-	if !keep {
-		c.close()
-	}
-	p.dial(i, dials)
-}
-
-// pause waits before a dial that follows failed ones.
-func (p *Pool) pause(i *instance) {
-	i.mu.Lock()
-	failures := i.failures
-	i.mu.Unlock()
-	if failures == 0 {
-		return
-	}
-	wait := min(dialPause<<min(failures-1, 10), dialPauseMax)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-p.ctx.Done():
-	}
-}
-
-func (p *Pool) dialFailed(i *instance) {
-	i.mu.Lock()
-	i.dialing--
-	i.open--
-	i.failures++
-	dials := 0
-	if p.ctx.Err() == nil {
-		dials = i.grant()
-	}
-	i.mu.Unlock()
-	p.dial(i, dials)
-}
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -21,7 +21,11 @@
 	instance *instance
 	conn     *connection
 	lent     proxy.Lent
-	returned atomic.Bool
+
+	mu sync.Mutex
+	// returned is set by Release, cancelled by Cancel.
+	returned  bool
+	cancelled bool
 }
 
 // Lent implements proxy.Loan.
@@ -90,16 +94,31 @@
 	return proxy.Bookmark{Term: l.lent.Term, Position: position}, nil
 }
 
-// Cancel implements proxy.Loan.
+// Cancel implements proxy.Loan. It may be called while another goroutine uses
+// the loan.
 func (l *loan) Cancel(ctx context.Context) error {
+	l.mu.Lock()
+	if l.returned {
+		l.mu.Unlock()
+		return nil
+	}
+	l.cancelled = true
+	l.mu.Unlock()
 	return l.conn.cancel(ctx)
 }
 
 // Release implements proxy.Loan. A second call is a violation and has no effect.
 func (l *loan) Release(r proxy.Return) {
-	if !l.returned.CompareAndSwap(false, true) {
+	l.mu.Lock()
+	if l.returned {
+		l.mu.Unlock()
 		l.pool.violation("loan released twice", l.instance)
 		return
 	}
+	l.returned = true
+	// A cancel request can take effect late and would then hit the statement of
+	// the next borrower.
+	r.Broken = r.Broken || l.cancelled
+	l.mu.Unlock()
 	l.pool.takeBack(l.instance, l.conn, r)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,15 +9,19 @@
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/queue"
 )
 
-// Defaults of the settable times.
+// Defaults of the settings.
 const (
 	defaultDialTimeout  = 3 * time.Second
 	defaultProbeAfter   = 5 * time.Second
 	defaultProbeTimeout = time.Second
-	defaultPoll         = 100 * time.Millisecond
+	defaultPoll         = 50 * time.Millisecond
+	defaultHorizon      = 3 * time.Second
 	defaultPatience     = 5 * time.Second
+	defaultLength       = 1000
+	defaultBypass       = 20
 )
 
 // Pool lends this host's connections to instances. The exported fields are set
@@ -27,6 +31,8 @@
 	Catalog proxy.Catalog
 	// Stage selects the addresses of the instances.
 	Stage proxy.Stage
+	// Zone is this host's zone; instances in it are preferred.
+	Zone proxy.Zone
 	// Leaders gives the primaries and acknowledges writes.
 	Leaders proxy.Leaders
 	Clock   proxy.Clock
@@ -35,6 +41,14 @@
 	Password string
 	// Share returns this host's connections to each instance of a group.
 	Share func(proxy.GroupID) int
+	// TermOf returns the term of a timeline of the group's instances. Without
+	// it the timeline's number is the term.
+	TermOf func(group proxy.GroupID, timeline uint32) proxy.Term
+	// Observe is called after each measurement and may be nil.
+	Observe func(proxy.GroupID, proxy.InstanceState)
+	// Failed is called after each failed connection or measurement and may be
+	// nil.
+	Failed func(proxy.GroupID, proxy.InstanceID, error)
 	// DialTimeout limits the opening of a connection.
 	DialTimeout time.Duration
 	// ProbeAfter is the time unused after which a connection is probed before
@@ -44,9 +58,13 @@
 	ProbeTimeout time.Duration
 	// Poll is the interval of the monitors.
 	Poll time.Duration
+	// Horizon is the age of a measurement above which a replica gets no reads.
+	Horizon time.Duration
 	// Validity is how long an acknowledgement holds, counted from before the
 	// call of Confirm. It leaves a remote caller time to use the answer.
 	Validity time.Duration
+	// Queue limits the requests that wait for one instance.
+	Queue queue.Limits
 
 	Logger  zerolog.Logger
 	Metrics metrics.Registry
@@ -56,11 +74,12 @@
 	started chan struct{}
 	once    sync.Once
 	tasks   sync.WaitGroup
+	changes changes
+	states  states
 
 	mu        sync.Mutex
-	document  *proxy.Document
-	revision  proxy.Revision
 	instances map[key]*instance
+	stopped   bool
 }
 
 // key identifies an instance over all groups.
@@ -89,7 +108,7 @@
 	}
 }
 
-// Started returns a channel that is closed when Run has adopted a document.
+// Started returns a channel that is closed when Run lends connections.
 func (p *Pool) Started() <-chan struct{} { return p.ready() }
 
 func (p *Pool) ready() chan struct{} {
@@ -102,27 +121,51 @@
 	setDefault(&p.ProbeAfter, defaultProbeAfter)
 	setDefault(&p.ProbeTimeout, defaultProbeTimeout)
 	setDefault(&p.Poll, defaultPoll)
+	setDefault(&p.Horizon, defaultHorizon)
+	setDefault(&p.Queue.Length, defaultLength)
+	setDefault(&p.Queue.Bypass, defaultBypass)
 	if p.Metrics == nil {
 		p.Metrics = metrics.NewRegistry()
 	}
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
 	}
 }
 
 // stop closes the idle connections and waits for dials and monitors to end.
 func (p *Pool) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
 	for _, i := range p.all() {
 		p.retire(i)
 	}
 	p.tasks.Wait()
 }
 
+// spawn runs a task that stop waits for. It returns false after stop.
+func (p *Pool) spawn(task func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return false
+	}
+	p.tasks.Go(task)
+	return true
+}
+
 // violation reports a broken invariant.
 func (p *Pool) violation(what string, i *instance) {
-	metrics.GetOrRegisterCounter("pool.violations", p.Metrics).Inc(1)
-	p.Logger.Error().Str("group", string(i.group)).Str("instance", string(i.id)).Msg("invariant violated: " + what)
+	p.count("pool.violations")
+	p.log(i).Error().Msg("invariant violated: " + what)
+}
+
+// log returns the logger with the names of the instance.
+func (p *Pool) log(i *instance) *zerolog.Logger {
+	l := p.Logger.With().Str("group", string(i.group)).Str("instance", string(i.id)).Logger()
+	return &l
 }
--- /dev/null
+++ b/internal/pool/states.go
@@ -0,0 +1,173 @@
+package pool
+
+import (
+	"sync"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// maxMarks bounds the remembered positions of a primary. Beyond it every second
+// one is dropped, which makes the staleness of replicas less exact, never too
+// small.
+const maxMarks = 128
+
+// delayWeight is the part of a new round trip in the usual one, as a divisor.
+const delayWeight = 8
+
+// states keeps what the monitors measured.
+type states struct {
+	mu     sync.Mutex
+	groups map[proxy.GroupID]*groupStates
+}
+
+type groupStates struct {
+	states map[proxy.InstanceID]proxy.InstanceState
+	// term is the term of marks.
+	term proxy.Term
+	// marks are positions of the primary, in ascending order.
+	marks []mark
+}
+
+// mark tells that everything committed before seen lies at or below position.
+type mark struct {
+	seen     proxy.Instant
+	position proxy.Position
+}
+
+// record keeps a measurement and returns the state.
+func (s *states) record(i *instance, m measurement, term proxy.Term, leadership proxy.Leadership, known bool) proxy.InstanceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.group(i.group)
+	state := g.states[i.id]
+	if state.Seen == 0 {
+		state.Delay = m.delay
+	}
+	state.Instance = i.id
+	state.Zone = i.zone
+	state.Primary = !m.recovery
+	state.Term = term
+	state.Replayed = m.position
+	state.Seen = m.seen
+	state.Delay += (m.delay - state.Delay) / delayWeight
+	if known && leadership.Term == term {
+		g.follow(&state, leadership)
+	}
+	g.states[i.id] = state
+	return state
+}
+
+func (s *states) group(id proxy.GroupID) *groupStates {
+	if s.groups == nil {
+		s.groups = make(map[proxy.GroupID]*groupStates)
+	}
+	g := s.groups[id]
+	if g == nil {
+		g = &groupStates{states: make(map[proxy.InstanceID]proxy.InstanceState)}
+		s.groups[id] = g
+	}
+	return g
+}
+
+// follow adds a mark for the primary of the term or derives from the marks when
+// a replica was current.
+func (g *groupStates) follow(state *proxy.InstanceState, leadership proxy.Leadership) {
+	if g.term != leadership.Term {
+		g.term = leadership.Term
+		g.marks = nil
+	}
+	if state.Instance == leadership.Primary {
+		if state.Primary {
+			state.Current = state.Seen
+			g.mark(mark{state.Seen, state.Replayed})
+		}
+		return
+	}
+	for n := len(g.marks) - 1; n >= 0; n-- {
+		if g.marks[n].position <= state.Replayed {
+			state.Current = max(state.Current, g.marks[n].seen)
+			return
+		}
+	}
+}
+
+func (g *groupStates) mark(m mark) {
+	last := len(g.marks) - 1
+	if last >= 0 && g.marks[last].position == m.position {
+		g.marks[last].seen = m.seen
+		return
+	}
+	g.marks = append(g.marks, m)
+	if len(g.marks) <= maxMarks {
+		return
+	}
+	kept := g.marks[:0]
+	for n, old := range g.marks {
+		if n%2 == len(g.marks)%2 || n == len(g.marks)-1 {
+			kept = append(kept, old)
+		}
+	}
+	g.marks = kept
+}
+
+func (s *states) get(group proxy.GroupID, id proxy.InstanceID) proxy.InstanceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[group]; g != nil {
+		return g.states[id]
+	}
+	return proxy.InstanceState{}
+}
+
+func (s *states) forget(group proxy.GroupID, id proxy.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[group]; g != nil {
+		delete(g.states, id)
+	}
+}
+
+// States returns what the pool measured of a group's instances. Instances that
+// were not measured yet have Seen zero.
+func (p *Pool) States(group proxy.GroupID) []proxy.InstanceState {
+	states, _ := p.collect(group, true)
+	return states
+}
+
+// candidates returns the states of the instances that take new work and the
+// number of slots.
+func (p *Pool) candidates(group proxy.GroupID) ([]proxy.InstanceState, int) {
+	return p.collect(group, false)
+}
+
+func (p *Pool) collect(group proxy.GroupID, leaving bool) (collected []proxy.InstanceState, slots int) {
+	document, _ := p.Catalog.Current()
+	if document == nil {
+		return nil, 0
+	}
+	for g := range document.Groups {
+		if document.Groups[g].ID != group {
+			continue
+		}
+		slots = document.Groups[g].Slots
+		for n := range document.Groups[g].Instances {
+			described := &document.Groups[g].Instances[n]
+			if leaving || !described.Leaving {
+				collected = append(collected, p.state(group, described))
+			}
+		}
+	}
+	return collected, slots
+}
+
+func (p *Pool) state(group proxy.GroupID, described *proxy.Instance) proxy.InstanceState {
+	state := p.states.get(group, described.ID)
+	state.Instance = described.ID
+	state.Zone = described.Zone
+	if i := p.find(group, described.ID); i != nil {
+		i.mu.Lock()
+		state.Busy = i.lent
+		i.mu.Unlock()
+	}
+	return state
+}
--- /dev/null
+++ b/pkg/proxy/routing/routing_test.go
@@ -0,0 +1,132 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/routing"
+)
+
+const now = proxy.Instant(time.Hour)
+
+var names = []proxy.InstanceID{"one", "two", "three"}
+
+func drawTable(t *rapid.T) routing.Table {
+	table := routing.Table{
+		Leadership: proxy.Leadership{
+			Term:    proxy.Term(rapid.IntRange(1, 3).Draw(t, "term")),
+			Primary: rapid.SampledFrom(names).Draw(t, "primary"),
+			Start:   proxy.Position(rapid.IntRange(0, 10).Draw(t, "start")),
+		},
+		Known:   rapid.Bool().Draw(t, "known"),
+		Zone:    "a",
+		Slots:   rapid.IntRange(0, 3).Draw(t, "slots"),
+		Horizon: time.Second,
+	}
+	for _, name := range names[:rapid.IntRange(0, 3).Draw(t, "instances")] {
+		seen := now.Add(-time.Duration(rapid.IntRange(0, 1500).Draw(t, "seen")) * time.Millisecond)
+		table.States = append(table.States, proxy.InstanceState{
+			Instance: name,
+			Zone:     rapid.SampledFrom([]proxy.Zone{"a", "b"}).Draw(t, "zone"),
+			Primary:  rapid.Bool().Draw(t, "role"),
+			Term:     proxy.Term(rapid.IntRange(1, 3).Draw(t, "state term")),
+			Replayed: proxy.Position(rapid.IntRange(0, 20).Draw(t, "replayed")),
+			Seen:     seen,
+			Current:  seen.Add(-time.Duration(rapid.IntRange(0, 1500).Draw(t, "lag")) * time.Millisecond),
+			Busy:     rapid.IntRange(0, 4).Draw(t, "busy"),
+		})
+	}
+	return table
+}
+
+func drawAsk(t *rapid.T) proxy.Ask {
+	return proxy.Ask{
+		Access: rapid.SampledFrom([]proxy.Access{proxy.Read, proxy.Write}).Draw(t, "access"),
+		After: proxy.Bookmark{
+			Term:     proxy.Term(rapid.IntRange(0, 3).Draw(t, "after term")),
+			Position: proxy.Position(rapid.IntRange(0, 20).Draw(t, "after")),
+		},
+		Age: time.Duration(rapid.IntRange(0, 3).Draw(t, "age")) * 500 * time.Millisecond,
+	}
+}
+
+// Guards against a read that is older than its minimum or its age, a write on
+// anything but the current primary, and a replica chosen outside the term.
+func TestChoiceIsNeverStale(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, ask := drawTable(t), drawAsk(t)
+		choice := routing.Choose(now, ask, table)
+		switch choice.Kind {
+		case routing.Replica:
+			checkReplica(t, table, ask, choice)
+		case routing.Primary:
+			if choice.Instance != table.Leadership.Primary || choice.Term != table.Leadership.Term || !table.Known {
+				t.Fatalf("primary of the current term not chosen: %+v", choice)
+			}
+			if ask.After.Term > table.Leadership.Term {
+				t.Fatalf("the request has seen term %d", ask.After.Term)
+			}
+		case routing.Wait, routing.Refuse:
+			if choice.Reason == "" {
+				t.Fatalf("no reason: %+v", choice)
+			}
+		default:
+			t.Fatalf("undefined choice %+v", choice)
+		}
+	})
+}
+
+func checkReplica(t *rapid.T, table routing.Table, ask proxy.Ask, choice routing.Choice) {
+	if ask.Access != proxy.Read || !table.Known {
+		t.Fatalf("replica chosen for %+v", ask)
+	}
+	for _, s := range table.States {
+		if s.Instance != choice.Instance {
+			continue
+		}
+		lost := ask.After.Term < s.Term && ask.After.Position > table.Leadership.Start
+		behind := s.Replayed < ask.After.Position && (!lost || s.Replayed < table.Leadership.Start)
+		if s.Term != table.Leadership.Term || ask.After.Term > s.Term || behind {
+			t.Fatalf("%+v is behind %+v", s, ask.After)
+		}
+		staleness := s.Seen.Sub(s.Current) + now.Sub(s.Seen)
+		if ask.Age > 0 && staleness > ask.Age {
+			t.Fatalf("%v old, accepted %v", staleness, ask.Age)
+		}
+		return
+	}
+	t.Fatalf("chosen instance %s takes no new work", choice.Instance)
+}
+
+// Guards against wrong preference: each case changes one tie-breaker.
+func TestPreference(t *testing.T) {
+	primary := proxy.InstanceState{Instance: "one", Zone: "a", Primary: true, Term: 2, Replayed: 9, Seen: now, Current: now}
+	replica := func(id proxy.InstanceID, zone proxy.Zone, busy int) proxy.InstanceState {
+		return proxy.InstanceState{Instance: id, Zone: zone, Term: 2, Replayed: 9, Seen: now, Current: now, Busy: busy}
+	}
+	read := proxy.Ask{Access: proxy.Read, After: proxy.Bookmark{Term: 2, Position: 9}}
+	for _, c := range []struct {
+		name   string
+		ask    proxy.Ask
+		states []proxy.InstanceState
+		want   routing.Choice
+	}{
+		{"replica before primary", read, []proxy.InstanceState{primary, replica("two", "b", 1)}, routing.Choice{Kind: routing.Replica, Instance: "two", Term: 2}},
+		{"own zone", read, []proxy.InstanceState{primary, replica("two", "b", 0), replica("three", "a", 1)}, routing.Choice{Kind: routing.Replica, Instance: "three", Term: 2}},
+		{"free slots before zone", read, []proxy.InstanceState{primary, replica("two", "b", 0), replica("three", "a", 2)}, routing.Choice{Kind: routing.Replica, Instance: "two", Term: 2}},
+		{"less load", read, []proxy.InstanceState{primary, replica("two", "a", 1), replica("three", "a", 0)}, routing.Choice{Kind: routing.Replica, Instance: "three", Term: 2}},
+		{"primary where replicas lag", proxy.Ask{Access: proxy.Read, After: proxy.Bookmark{Term: 2, Position: 10}}, []proxy.InstanceState{primary, replica("two", "a", 0)}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
+		{"write", proxy.Ask{Access: proxy.Write}, []proxy.InstanceState{primary, replica("two", "a", 0)}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
+		{"unmeasured primary", proxy.Ask{Access: proxy.Write}, []proxy.InstanceState{{Instance: "one"}}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := routing.Table{Leadership: proxy.Leadership{Term: 2, Primary: "one", Start: 5}, Known: true, States: c.states, Zone: "a", Slots: 2, Horizon: time.Second}
+			is.Equal(routing.Choose(now, c.ask, table), c.want)
+		})
+	}
+}
