Assemble the host: a statement is answered through two daemons

Primaries are still those that the document names, rates are not limited and hosts exchange no control messages yet.

--- /dev/null
+++ b/cmd/auburnyoked/main.go
@@ -0,0 +1,68 @@
+// Command auburnyoked is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/auburnyoke/auburnyoke/internal/daemon"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings string `long:"settings" short:"f" required:"true" description:"settings file in YAML"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			os.Exit(0)
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "auburnyoked:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func run(o options) error {
+	settings, err := daemon.LoadSettings(o.Settings)
+	if err != nil {
+		return fmt.Errorf("load settings: %w", err)
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	log, err := daemon.NewLog(os.Stderr, settings)
+	if err != nil {
+		return fmt.Errorf("build log: %w", err)
+	}
+	daemon.BridgeLog(log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	host, cleanUp, err := daemon.New(settings, log)
+	if err != nil {
+		return fmt.Errorf("build host: %w", err)
+	}
+	defer cleanUp()
+	if err := host.Run(ctx); err != nil {
+		return fmt.Errorf("run host: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/host.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/auburnyoke/auburnyoke/internal/front"
+	"github.com/auburnyoke/auburnyoke/internal/inner"
+	"github.com/auburnyoke/auburnyoke/internal/platform"
+	"github.com/auburnyoke/auburnyoke/internal/pool"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+)
+
+// Intervals of the control decisions.
+const (
+	controlTick = 100 * time.Millisecond
+)
+
+// Host is one entry host.
+type Host struct {
+	settings Settings
+	log      zerolog.Logger
+	clock    proxy.Clock
+	registry metrics.Registry
+	self     proxy.HostState
+
+	store         proxy.Store
+	driver        *Driver
+	configuration *configuration.Table
+	members       *member.Table
+	pool          *pool.Pool
+	peers         *inner.Client
+	server        *inner.Server
+	front         *front.Server
+	status        *rest.Server
+	stopping      atomic.Bool
+}
+
+// New builds a host and returns a function that releases what it holds.
+func New(settings Settings, log zerolog.Logger) (*Host, func(), error) {
+	store, closeStore, err := platform.NewClient(settings.Platform)
+	if err != nil {
+		return nil, nil, fmt.Errorf("platform client: %w", err)
+	}
+	h := &Host{
+		settings: settings, log: log, clock: NewClock(), registry: metrics.NewRegistry(), store: store,
+		self: proxy.HostState{
+			ID: settings.Host, Zone: settings.Zone, Address: settings.Peers,
+			Incarnation: newIncarnation(time.Now()),
+		},
+	}
+	if err := h.build(); err != nil {
+		closeStore()
+		return nil, nil, err
+	}
+	return h, closeStore, nil
+}
+
+// newIncarnation draws an incarnation: milliseconds since 1970 above 20 random
+// bits, so that later lives have larger numbers.
+func newIncarnation(now time.Time) proxy.Incarnation {
+	var random [4]byte
+	_, _ = crand.Read(random[:])
+	low := uint64(binary.BigEndian.Uint32(random[:]) >> 12)
+	return proxy.Incarnation(uint64(now.UnixMilli())<<20 | low)
+}
+
+func (h *Host) build() error {
+	password, err := readPassword(h.settings.Instances.Password)
+	if err != nil {
+		return err
+	}
+	h.configuration = &configuration.Table{
+		Host: h.self, Key: environment.DocumentKey(h.settings.Environment, h.settings.Stage), Decode: h.decode,
+	}
+	h.members = &member.Table{Self: h.self}
+	h.driver = &Driver{
+		Clock: h.clock, Store: h.store, Send: h.send, Own: h.own, Log: h.log,
+		Random: rand.New(rand.NewPCG(uint64(h.self.Incarnation), uint64(os.Getpid()))),
+	}
+	h.driver.Add(h.configuration, controlTick)
+	h.driver.Add(h.members, controlTick)
+	h.pool = &pool.Pool{
+		Catalog: h.configuration, Stage: h.settings.Stage, Leaders: firstLeaders{h.configuration}, Clock: h.clock,
+		User: h.settings.Instances.User, Password: password, Share: h.share,
+		ProbeAfter: h.settings.Instances.Idle, ProbeTimeout: h.settings.Instances.Silence,
+		Poll: h.settings.Instances.Probe, Logger: h.log, Metrics: h.registry,
+	}
+	if err := h.buildPeers(); err != nil {
+		return err
+	}
+	h.front = &front.Server{
+		Catalog: h.configuration, Limiter: admitAll{}, Lender: h.pool, Positions: noPositions{}, Clock: h.clock,
+		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
+		Limits: front.Limits{Sessions: h.settings.Clients.Limit},
+	}
+	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
+		return err
+	}
+	status := &statusServer{page: h.page, registry: h.registry}
+	h.status, err = status.newServer(h.settings.Status)
+	return err
+}
+
+// clientTLS returns the source of TLS configurations for client connections,
+// or nil where the settings name no certificate.
+func clientTLS(c ClientSettings) (func() *tls.Config, error) {
+	if c.Certificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
+	if err != nil {
+		return nil, fmt.Errorf("clients.certificate: %w", err)
+	}
+	return func() *tls.Config {
+		return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	}, nil
+}
+
+func readPassword(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("instances.password: %w", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// decode reads an envelope and refuses one of another environment or stage.
+func (h *Host) decode(data []byte) (configuration.Loaded, error) {
+	envelope, err := environment.DecodeEnvelope(data)
+	if err != nil {
+		return configuration.Loaded{}, fmt.Errorf("document: %w", err)
+	}
+	if envelope.Environment != h.settings.Environment || envelope.Stage != h.settings.Stage {
+		return configuration.Loaded{}, fmt.Errorf("document of %s %s on a host of %s %s",
+			envelope.Environment, envelope.Stage, h.settings.Environment, h.settings.Stage)
+	}
+	document, err := envelope.Document()
+	if err != nil {
+		return configuration.Loaded{}, fmt.Errorf("document: %w", err)
+	}
+	return configuration.Loaded{Revision: envelope.Revision, Document: document, Data: data}, nil
+}
+
+// Run serves until ctx ends and then shuts down gracefully: it announces its
+// leaving, ends sessions at their transaction boundaries and waits at most the
+// grace period.
+func (h *Host) Run(ctx context.Context) error {
+	clients, err := net.Listen("tcp", h.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	peers, err := net.Listen("tcp", h.settings.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	inside, stopInside := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopInside()
+	var running sync.WaitGroup
+	start := func(job func()) {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			job()
+		}()
+	}
+	go h.status.Start()
+	defer h.status.Stop()
+	start(func() { h.driver.Run(inside) })
+	start(func() { h.pool.Run(inside) })
+	start(func() { h.peers.Run(inside) })
+	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
+	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
+	stopped := context.AfterFunc(ctx, h.announceStop)
+	defer stopped()
+	err = h.front.Run(ctx, clients)
+	h.log.Info().Msg("host stopping")
+	stopInside()
+	running.Wait()
+	return err
+}
+
+func (h *Host) announceStop() {
+	h.stopping.Store(true)
+	h.driver.Post(member.Leave{})
+}
+
+func (h *Host) logError(part string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		h.log.Error().Err(err).Str("part", part).Msg("part of the host ended")
+	}
+}
