--- a/internal/emulator/instance/administration.go
+++ b/internal/emulator/instance/administration.go
@@ -92,6 +92,9 @@
 // Rewind discards the part of the log that source does not have and restarts
 // the instance as a replica of source. Its connections are closed.
 func (i *Instance) Rewind(ctx context.Context, source string) error {
+	if i.Faults().Cut {
+		return fmt.Errorf("rewind to %s: %w", source, errCut)
+	}
 	segments, err := fetchSegments(ctx, source)
 	if err != nil {
 		return fmt.Errorf("rewind to %s: %w", source, err)
--- a/internal/emulator/instance/analysis.go
+++ b/internal/emulator/instance/analysis.go
@@ -18,6 +18,7 @@
 	parameters []uint32 // 0 while unknown
 	source     source
 	excluded   bool
+	aggregate  bool // a target list with count(*)
 }
 
 // analyze returns the types of the parameters and the result columns of a
@@ -49,7 +50,7 @@
 	case *insertStatement:
 		for _, row := range s.rows {
 			for _, e := range row {
-				a.infer(e, pgtype.TextOID)
+				a.plain(e, pgtype.TextOID)
 			}
 		}
 		a.source.kind = sourceTable
@@ -57,16 +58,16 @@
 		a.optional(s.update, pgtype.TextOID)
 		a.condition(s.where)
 		a.excluded = false
-		return a.targets(s.returning)
+		return a.returned(s.returning)
 	case *updateStatement:
 		a.source.kind = sourceTable
-		a.infer(s.value, pgtype.TextOID)
+		a.plain(s.value, pgtype.TextOID)
 		a.condition(s.where)
-		return a.targets(s.returning)
+		return a.returned(s.returning)
 	case *deleteStatement:
 		a.source.kind = sourceTable
 		a.condition(s.where)
-		return a.targets(s.returning)
+		return a.returned(s.returning)
 	case showStatement:
 		return []description{{s.name, pgtype.TextOID}}
 	case *copyStatement:
@@ -80,21 +81,31 @@
 func (a *analysis) selection(s *selectStatement) []description {
 	a.source = s.source
 	if s.source.kind == sourceSeries {
-		a.infer(s.source.first, pgtype.Int4OID)
-		a.infer(s.source.last, pgtype.Int4OID)
+		a.plain(s.source.first, pgtype.Int4OID)
+		a.plain(s.source.last, pgtype.Int4OID)
 	}
 	a.condition(s.where)
 	if s.order != nil {
-		a.infer(s.order.by, 0)
+		a.plain(s.order.by, 0)
 	}
 	a.optional(s.limit, pgtype.Int8OID)
 	a.optional(s.offset, pgtype.Int8OID)
 	return a.targets(s.targets)
 }
 
+// returned returns the result columns of RETURNING.
+func (a *analysis) returned(targets []target) []description {
+	if isAggregate(targets) {
+		panic(errorf(stateGrouping, "aggregate functions are not allowed in RETURNING"))
+	}
+	return a.targets(targets)
+}
+
 // targets returns the result columns of a target list.
 func (a *analysis) targets(targets []target) []description {
 	var columns []description
+	a.aggregate = isAggregate(targets)
+	defer func() { a.aggregate = false }()
 	for _, t := range targets {
 		if t.star {
 			columns = append(columns, a.star()...)
@@ -111,6 +122,9 @@
 
 // star returns the columns of the source.
 func (a *analysis) star() []description {
+	if a.aggregate {
+		panic(errorf(stateGrouping, "* cannot be selected beside count(*)"))
+	}
 	switch a.source.kind {
 	case sourceTable:
 		return []description{{"key", pgtype.TextOID}, {"value", pgtype.TextOID}}
@@ -137,14 +151,25 @@
 
 func (a *analysis) optional(e expression, want uint32) {
 	if e != nil {
-		a.infer(e, want)
+		a.plain(e, want)
 	}
 }
 
+// plain infers an expression that must not contain count(*).
+func (a *analysis) plain(e expression, want uint32) {
+	if hasCount(e) {
+		panic(errorf(stateGrouping, "aggregate functions are not allowed here"))
+	}
+	a.infer(e, want)
+}
+
 func (a *analysis) condition(e expression) {
 	if e == nil {
 		return
 	}
+	if hasCount(e) {
+		panic(errorf(stateGrouping, "aggregate functions are not allowed in WHERE"))
+	}
 	if oid := a.infer(e, pgtype.BoolOID); oid != pgtype.BoolOID && oid != pgtype.UnknownOID {
 		panic(errorf(stateDatatypeMismatch, "argument of WHERE must be type boolean"))
 	}
@@ -196,6 +221,9 @@
 }
 
 func (a *analysis) column(c column) uint32 {
+	if a.aggregate {
+		panic(errorf(stateGrouping, "column %q cannot be selected beside count(*)", c.name))
+	}
 	isField := c.name == "key" || c.name == "value"
 	switch a.source.kind {
 	case sourceTable:
--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -79,6 +79,9 @@
 
 // handle answers one message. It returns an error if the connection is broken.
 func (c *connection) handle(msg pgproto3.FrontendMessage) error {
+	if _, ok := msg.(*pgproto3.Sync); c.skipping && !ok {
+		return nil
+	}
 	switch msg := msg.(type) {
 	case *pgproto3.Query:
 		if err := c.fail(c.query(msg.String)); err != nil {
@@ -94,17 +97,11 @@
 		c.skipping = false
 		return c.ready()
 	case *pgproto3.Flush:
-		if c.skipping {
-			return nil
-		}
 		return c.flush()
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		// These follow a COPY that has failed already.
 		return nil
 	}
-	if c.skipping {
-		return nil
-	}
 	return c.fail(c.extended(msg))
 }
 
--- a/internal/emulator/instance/error.go
+++ b/internal/emulator/instance/error.go
@@ -30,6 +30,7 @@
 	stateUndefinedColumn    proxy.SQLState = "42703"
 	stateUndefinedObject    proxy.SQLState = "42704"
 	stateDatatypeMismatch   proxy.SQLState = "42804"
+	stateGrouping           proxy.SQLState = "42803"
 	stateUndefinedFunction  proxy.SQLState = "42883"
 	stateUndefinedTable     proxy.SQLState = "42P01"
 	stateUndefinedParameter proxy.SQLState = "42P02"
--- a/internal/emulator/instance/evaluation.go
+++ b/internal/emulator/instance/evaluation.go
@@ -18,6 +18,7 @@
 	row        *Row
 	excluded   *Row
 	number     value // of the series or of the timeline
+	count      int64 // of count(*)
 }
 
 // evaluate returns the value of e.
@@ -81,6 +82,9 @@
 }
 
 func (sc *scope) call(c call) (value, error) {
+	if c.name == "count" {
+		return intValue(sc.count), nil
+	}
 	f := functions[c.name]
 	arguments := make([]value, len(c.arguments))
 	for i, e := range c.arguments {
--- a/internal/emulator/instance/execution.go
+++ b/internal/emulator/instance/execution.go
@@ -93,12 +93,6 @@
 	return nil, errorf(proxy.InternalInconsistency, "statement %T", stmt)
 }
 
-func (s *session) resetAll() {
-	initial := settings{initial: s.settings.initial, session: s.settings.initial}
-	s.settings = initial.clone()
-	s.settings.local = make(map[string]string)
-}
-
 // once returns a row source with one row.
 func once(row []value) func() ([]value, error) {
 	return listed([][]value{row})
--- a/internal/emulator/instance/extended.go
+++ b/internal/emulator/instance/extended.go
@@ -134,6 +134,8 @@
 			return err
 		}
 	}
+	// A portal belongs to a transaction, if only an implicit one.
+	c.session.start()
 	p := &portal{prepared: s, formats: append([]int16(nil), msg.ResultFormatCodes...)}
 	for i, data := range msg.Parameters {
 		v, err := decode(data, s.parameters[i], formatOf(msg.ParameterFormatCodes, i))
--- a/internal/emulator/instance/faults.go
+++ b/internal/emulator/instance/faults.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -63,10 +64,12 @@
 	})
 }
 
-// UnmarshalJSON changes the fields that are present.
+// UnmarshalJSON changes the fields that are present and refuses unknown ones.
 func (f *Faults) UnmarshalJSON(data []byte) error {
 	text := faultsText{Cut: &f.Cut, Refuse: &f.Refuse, Slots: &f.Slots, Connections: &f.Connections}
-	if err := json.Unmarshal(data, &text); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&text); err != nil {
 		return fmt.Errorf("faults: %w", err)
 	}
 	for _, field := range []struct {
--- /dev/null
+++ b/internal/emulator/instance/faults_test.go
@@ -0,0 +1,117 @@
+package instance_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/instance"
+)
+
+// request performs a control request and returns the status code.
+func request(t *testing.T, i *instance.Instance, method, path, body string, answer any) int {
+	t.Helper()
+	r, err := http.NewRequestWithContext(background(t), method, "http://"+i.ControlAddress()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer != nil {
+		if err := json.Unmarshal(data, answer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return response.StatusCode
+}
+
+// insert starts a statement and returns the channel of its outcome.
+func insert(ctx context.Context, c *pgx.Conn) chan error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(ctx, "INSERT INTO kv VALUES ('k', '1') ON CONFLICT DO NOTHING")
+		result <- err
+	}()
+	return result
+}
+
+// Guards against a silence that ends, that lets statements through, or that
+// affects other or new connections.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	i := start(t, instance.Options{Name: "a"})
+	silent, other := connect(t, i), connect(t, i)
+	ctx, giveUp := context.WithCancel(background(t))
+	is.True(i.Silence(silent.PgConn().PID()))
+	first := insert(ctx, silent)
+	is.NoErr(<-insert(ctx, other))
+	run(t, other, "DELETE FROM kv")
+	var count struct{ Count int }
+	is.Equal(request(t, i, "POST", "/silence", `{"all": true}`, &count), 200)
+	is.Equal(count.Count, 2)
+	second := insert(ctx, other)
+	c := connect(t, i)
+	is.Equal(text(t, c, "SELECT count(*)::text FROM kv"), "0")
+	giveUp()
+	is.True(errors.Is(<-first, context.Canceled))
+	is.True(errors.Is(<-second, context.Canceled))
+	is.Equal(text(t, c, "SELECT count(*)::text FROM kv"), "0")
+	is.Equal(request(t, i, "POST", "/silence", `{"pid": 999}`, nil), 404)
+}
+
+// Guards against limits that are not enforced or not measured, and against
+// faults that a control request does not change or changes besides.
+func TestLimitsOverControl(t *testing.T) {
+	is := is.New(t)
+	i := start(t, instance.Options{Name: "a", Faults: instance.DefaultFaults()})
+	var faults instance.Faults
+	is.Equal(request(t, i, "PUT", "/faults", `{"slots": 2, "connections": 4, "lag": "50ms"}`, &faults), 200)
+	is.Equal(faults, instance.Faults{Slots: 2, Connections: 4, Lag: 50 * time.Millisecond, Cost: instance.DefaultCost})
+	is.Equal(i.Faults(), faults)
+	is.Equal(request(t, i, "PUT", "/faults", `{"slots": -1}`, nil), 400)
+	is.Equal(request(t, i, "PUT", "/faults", `{"slot": 1}`, nil), 400)
+	is.Equal(i.Faults(), faults)
+
+	var clients []*pgx.Conn
+	for range 4 {
+		clients = append(clients, connect(t, i))
+	}
+	_, err := pgx.Connect(background(t), "postgres://x@"+i.Address()+"/db?sslmode=disable")
+	is.Equal(state(err), "53300")
+	results := make(chan error, 3)
+	for _, c := range clients[:3] {
+		go func() {
+			_, err := c.Exec(background(t), "SELECT pg_sleep(0.05)")
+			results <- err
+		}()
+	}
+	for range 3 {
+		is.NoErr(<-results)
+	}
+	s := i.Status()
+	is.Equal(s.Peak, 2)
+	is.Equal(s.Highest, 5)
+	is.Equal(s.Refused, 1)
+
+	is.Equal(request(t, i, "PUT", "/faults", `{"refuse": true, "connections": 0}`, nil), 200)
+	_, err = pgx.Connect(background(t), "postgres://x@"+i.Address()+"/db?sslmode=disable")
+	is.True(err != nil)
+	is.Equal(text(t, clients[0], "SELECT 'open'"), "open")
+	is.Equal(request(t, i, "PUT", "/faults", `{"refuse": false, "delay": "1ms"}`, nil), 200)
+	is.Equal(text(t, connect(t, i), "SELECT 'open'"), "open")
+}
--- a/internal/emulator/instance/functions.go
+++ b/internal/emulator/instance/functions.go
@@ -10,7 +10,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// function is an SQL function that returns null for a null argument.
+// function is an SQL function that returns null for a null argument. run is nil
+// for count(*), which the SELECT computes.
 type function struct {
 	arguments []uint32
 	required  int
@@ -20,7 +21,7 @@
 
 // functions lists the functions by name.
 var functions = map[string]function{
-	"count":                   {nil, 0, pgtype.Int8OID, misplacedCount},
+	"count":                   {nil, 0, pgtype.Int8OID, nil},
 	"repeat":                  {[]uint32{pgtype.TextOID, pgtype.Int4OID}, 2, pgtype.TextOID, repeat},
 	"length":                  {[]uint32{pgtype.TextOID}, 1, pgtype.Int4OID, length},
 	"pg_sleep":                {[]uint32{pgtype.Float8OID}, 1, oidVoid, sleep},
@@ -37,10 +38,6 @@
 	"version":                 {nil, 0, pgtype.TextOID, version},
 }
 
-func misplacedCount(*session, []value) (value, error) {
-	return value{}, errorf(proxy.FeatureNotSupported, "count(*) must be the only result column")
-}
-
 // maxText is PostgreSQL's limit on a value, in bytes.
 const maxText = 1 << 30
 
--- a/internal/emulator/instance/parser_query.go
+++ b/internal/emulator/instance/parser_query.go
@@ -59,8 +59,11 @@
 	if s.locking && s.source.kind != sourceTable {
 		panic(errorf(proxy.FeatureNotSupported, "FOR UPDATE needs the table %s", tableName))
 	}
-	if s.order != nil && s.source.kind == sourceSeries {
-		panic(errorf(proxy.FeatureNotSupported, "ORDER BY needs the table %s", tableName))
+	if s.order == nil {
+		return
+	}
+	if _, ok := s.order.by.(literal); ok || s.source.kind == sourceSeries {
+		panic(errorf(proxy.FeatureNotSupported, "ORDER BY needs an expression on the table %s", tableName))
 	}
 }
 
--- a/internal/emulator/instance/selection.go
+++ b/internal/emulator/instance/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 
 	"github.com/jackc/pgx/v5/pgtype"
@@ -19,14 +20,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if isCount(stmt.targets) {
-		n, err := count(advance)
-		if err != nil {
+	if isAggregate(stmt.targets) {
+		if sc.count, err = count(advance); err != nil {
 			return nil, err
 		}
 		advance = counter(1)
-		sc.number = intValue(n)
-		stmt = &selectStatement{targets: []target{{value: literal{sc.number}}}}
 	}
 	return func() ([]value, error) {
 		for ; offset > 0; offset-- {
@@ -45,12 +43,35 @@
 	}, nil
 }
 
-// isCount reports the target list count(*).
-func isCount(targets []target) bool {
-	c, ok := targets[0].value.(call)
-	return ok && len(targets) == 1 && c.name == "count"
+// isAggregate reports a target list that contains count(*).
+func isAggregate(targets []target) bool {
+	for _, t := range targets {
+		if hasCount(t.value) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasCount(e expression) bool {
+	switch e := e.(type) {
+	case call:
+		return e.name == "count" || slices.ContainsFunc(e.arguments, hasCount)
+	case cast:
+		return hasCount(e.operand)
+	case prefix:
+		return hasCount(e.operand)
+	case operation:
+		return hasCount(e.left) || hasCount(e.right)
+	case inList:
+		return hasCount(e.operand) || slices.ContainsFunc(e.list, hasCount)
+	case isNull:
+		return hasCount(e.operand)
+	}
+	return false
 }
 
+// count returns the number of rows.
 func count(advance func() (bool, error)) (int64, error) {
 	for n := int64(0); ; n++ {
 		ok, err := advance()
--- a/internal/emulator/instance/session.go
+++ b/internal/emulator/instance/session.go
@@ -80,7 +80,7 @@
 		return
 	}
 	s.tx = s.engine.Begin()
-	s.before = s.settings.clone()
+	s.before = s.settings
 	s.readOnly, _ = parseSwitch(s.value("default_transaction_read_only"))
 }
 
@@ -89,7 +89,7 @@
 	s.tx = nil
 	s.block = blockIdle
 	s.savepoints = nil
-	s.settings.local = make(map[string]string)
+	s.settings.local = nil
 	s.readOnly = false
 	s.ended()
 }
@@ -209,7 +209,7 @@
 		return "", errorf(stateNoTransaction, "SAVEPOINT can only be used in transaction blocks")
 	}
 	if stmt.action == savepointSet {
-		saved := savepoint{stmt.name, s.tx.savedWrites(), s.settings.clone()}
+		saved := savepoint{stmt.name, s.tx.savedWrites(), s.settings}
 		s.savepoints = append(s.savepoints, saved)
 		return "SAVEPOINT", nil
 	}
@@ -227,7 +227,7 @@
 	saved := s.savepoints[i]
 	s.savepoints = s.savepoints[:i+1]
 	s.tx.restoreWrites(saved.writes)
-	s.settings = saved.settings.clone()
+	s.settings = saved.settings
 	s.block = blockOpen
 	return "ROLLBACK", nil
 }
--- a/internal/emulator/instance/settings.go
+++ b/internal/emulator/instance/settings.go
@@ -45,6 +45,8 @@
 }
 
 // settings are the values of a session. Local values end with the transaction.
+// The maps are replaced, never changed, so that a copy of the struct is a
+// snapshot to which a rollback returns.
 type settings struct {
 	initial map[string]string // after the startup message
 	session map[string]string
@@ -52,25 +54,66 @@
 }
 
 func newSettings(user string, startup map[string]string) (settings, error) {
-	s := settings{initial: defaultSettings(user), local: make(map[string]string)}
+	s := settings{initial: defaultSettings(user)}
 	for name, text := range startup {
 		name = strings.ToLower(name)
 		switch name {
-		case "user", "database", "replication", "options":
+		case "user", "database", "replication":
+			continue
+		case "options":
+			for name, text := range commandLine(text) {
+				if err := s.initialize(name, text); err != nil {
+					return s, err
+				}
+			}
 			continue
 		}
-		if err := s.check(name, text); err != nil {
+		if err := s.initialize(name, text); err != nil {
 			return s, err
 		}
-		s.initial[name] = text
 	}
-	s.session = maps.Clone(s.initial)
+	s.session = s.initial
 	return s, nil
 }
 
-// clone returns a copy of the values that a rollback restores.
-func (s settings) clone() settings {
-	return settings{initial: s.initial, session: maps.Clone(s.session), local: maps.Clone(s.local)}
+// initialize sets an initial value.
+func (s settings) initialize(name, text string) error {
+	if err := s.check(name, text); err != nil {
+		return err
+	}
+	s.initial[name] = text
+	return nil
+}
+
+// commandLine reads the settings of the startup parameter options, such as
+// "-c name=value".
+func commandLine(options string) map[string]string {
+	values := make(map[string]string)
+	for _, word := range strings.Fields(options) {
+		word = strings.TrimPrefix(strings.TrimPrefix(word, "-c"), "--")
+		if name, text, ok := strings.Cut(word, "="); ok {
+			values[strings.ToLower(name)] = text
+		}
+	}
+	return values
+}
+
+// with returns a copy of values in which name has the value text.
+func with(values map[string]string, name, text string) map[string]string {
+	changed := make(map[string]string, len(values)+1)
+	maps.Copy(changed, values)
+	changed[name] = text
+	return changed
+}
+
+// without returns a copy of values that lacks name.
+func without(values map[string]string, name string) map[string]string {
+	if _, ok := values[name]; !ok {
+		return values
+	}
+	changed := maps.Clone(values)
+	delete(changed, name)
+	return changed
 }
 
 // check reports a setting that cannot be set to text. Names with a dot are free.
@@ -120,8 +163,8 @@
 	if text == nil {
 		initial, known := s.settings.initial[name]
 		if !known {
-			delete(s.settings.session, name)
-			delete(s.settings.local, name)
+			s.settings.session = without(s.settings.session, name)
+			s.settings.local = without(s.settings.local, name)
 			return nil
 		}
 		text = &initial
@@ -129,14 +172,19 @@
 		return err
 	}
 	if local {
-		s.settings.local[name] = *text
+		s.settings.local = with(s.settings.local, name, *text)
 		return nil
 	}
-	s.settings.session[name] = *text
-	delete(s.settings.local, name)
+	s.settings.session = with(s.settings.session, name, *text)
+	s.settings.local = without(s.settings.local, name)
 	return nil
 }
 
+// resetAll returns to the initial values.
+func (s *session) resetAll() {
+	s.settings = settings{initial: s.settings.initial, session: s.settings.initial}
+}
+
 // setReadOnly changes the access mode of the transaction.
 func (s *session) setReadOnly(text string) error {
 	on, ok := parseSwitch(text)
--- a/internal/emulator/instance/value.go
+++ b/internal/emulator/instance/value.go
@@ -68,6 +68,10 @@
 		return out, nil
 	}
 	switch oid {
+	case pgtype.TextOID, pgtype.VarcharOID:
+		if v.oid == pgtype.BoolOID {
+			out.text = strconv.FormatBool(v.isTrue())
+		}
 	case pgtype.Int2OID, pgtype.Int4OID, pgtype.Int8OID:
 		n, err := v.integer()
 		if err != nil {
