--- a/internal/pool/dial.go
+++ b/internal/pool/dial.go
@@ -11,7 +11,7 @@
 	// dialPause is the pause after a failed dial; it doubles up to dialPauseMax.
 	dialPause = 50 * time.Millisecond
 	// dialPauseMax bounds the time for which a returned instance is not noticed.
-	dialPauseMax = time.Second
+	dialPauseMax = 500 * time.Millisecond
 	// dialDoublings keeps the shift within dialPauseMax.
 	dialDoublings = 5
 )
@@ -19,13 +19,7 @@
 // dial opens connections in the background. They are counted already.
 func (p *Pool) dial(i *instance, number int) {
 	for range number {
-		i.mu.Lock()
-		over := i.open > i.share
-		i.mu.Unlock()
-		if over {
-			p.violation("more connections than the share", i)
-		}
-		if over || !p.spawn(func() { p.dialOne(i) }) {
+		if !p.spawn(func() { p.dialOne(i) }) {
 			i.mu.Lock()
 			i.dialing--
 			i.open--
--- a/internal/pool/document.go
+++ b/internal/pool/document.go
@@ -55,6 +55,7 @@
 
 // add keeps a new instance and starts its monitor.
 func (p *Pool) add(i *instance) *instance {
+	i.violated = func(what string) { p.violation(what, i) }
 	p.mu.Lock()
 	if p.instances == nil {
 		p.instances = make(map[key]*instance)
--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -20,6 +20,8 @@
 	database string
 	// gone is closed when the instance leaves the document.
 	gone chan struct{}
+	// violated reports a broken invariant.
+	violated func(what string)
 
 	mu      sync.Mutex
 	idle    []*connection
@@ -59,17 +61,34 @@
 			break
 		}
 		c := i.take(next.Value.owner)
-		c.lent = true
-		i.lent++
+		if !i.hold(c) {
+			next.Value.granted <- result{err: proxy.Refuse(proxy.InternalInconsistency, "connection lent twice")}
+			continue
+		}
 		next.Value.granted <- result{conn: c}
 	}
 	wanted := min(i.slots-i.lent, i.waiting.Len()) - i.dialing
 	dials = max(0, min(wanted, i.room()))
+	if dials > 0 && i.open+dials > i.share {
+		i.violated("more connections than the share")
+		return 0
+	}
 	i.open += dials
 	i.dialing += dials
 	return dials
 }
 
+// hold marks a connection as lent and returns false if it is lent already.
+func (i *instance) hold(c *connection) bool {
+	if c.lent {
+		i.violated("connection lent twice")
+		return false
+	}
+	c.lent = true
+	i.lent++
+	return true
+}
+
 // room returns the number of connections that may be opened for loans. From a
 // share of two on, one connection is reserved for the monitor.
 func (i *instance) room() int {
--- a/internal/pool/monitor.go
+++ b/internal/pool/monitor.go
@@ -92,6 +92,7 @@
 	i.open++
 	i.watched = true
 	i.mu.Unlock()
+	p.pause(i)
 	ctx, cancel := context.WithTimeout(p.ctx, p.DialTimeout)
 	defer cancel()
 	c, err := p.connect(ctx, i)
@@ -134,9 +135,11 @@
 		return
 	}
 	c := i.take(owner{})
-	c.lent = true
-	i.lent++
+	held := i.hold(c)
 	i.mu.Unlock()
+	if !held {
+		return
+	}
 	err := p.record(i, c)
 	p.takeBack(i, c, proxy.Return{Broken: err != nil})
 }
@@ -145,6 +148,7 @@
 func (p *Pool) record(i *instance, c *connection) error {
 	ctx, cancel := context.WithTimeout(p.ctx, p.ProbeTimeout)
 	defer cancel()
+	before, _ := p.Leaders.Leader(i.group)
 	m, err := measure(ctx, c, p.Clock)
 	if err != nil {
 		p.count("pool.measurement.failed")
@@ -154,7 +158,8 @@
 		return err
 	}
 	leadership, known := p.Leaders.Leader(i.group)
-	state := p.states.record(i, m, p.term(i.group, m.timeline), leadership, known)
+	known = known && leadership == before
+	state := p.states.record(i, m, leadership, known)
 	p.changes.announce()
 	if p.Observe != nil {
 		p.Observe(i.group, state)
@@ -162,13 +167,6 @@
 	return nil
 }
 
-func (p *Pool) term(group proxy.GroupID, timeline uint32) proxy.Term {
-	if p.TermOf != nil {
-		return p.TermOf(group, timeline)
-	}
-	return proxy.Term(timeline)
-}
-
 // measure asks an instance for its role, position and timeline. The role comes
 // first, so that a position is never that of a later role.
 func measure(ctx context.Context, c *connection, clock proxy.Clock) (measurement, error) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,9 +41,6 @@
 	Password string
 	// Share returns this host's connections to each instance of a group.
 	Share func(proxy.GroupID) int
-	// TermOf returns the term of a timeline of the group's instances. Without
-	// it the timeline's number is the term.
-	TermOf func(group proxy.GroupID, timeline uint32) proxy.Term
 	// Observe is called after each measurement and may be nil.
 	Observe func(proxy.GroupID, proxy.InstanceState)
 	// Failed is called after each failed connection or measurement and may be
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,9 +1,7 @@
 package pool_test
 
 import (
-	"context"
 	"errors"
-	"sync"
 	"testing"
 	"time"
 
@@ -34,11 +32,7 @@
 		User: "system", Share: func(proxy.GroupID) int { return share },
 		ProbeTimeout: 200 * time.Millisecond, Poll: 5 * time.Millisecond, Metrics: metrics.NewRegistry(),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { b.pool.Run(ctx) })
-	t.Cleanup(func() { cancel(); running.Wait() })
-	<-b.pool.Started()
+	start(t, b.pool)
 	return b
 }
 
--- a/internal/pool/scripted_test.go
+++ b/internal/pool/scripted_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -15,15 +16,11 @@
 	listener net.Listener
 
 	mu         sync.Mutex
-	open       int
-	most       int
 	total      int
 	statements []string
 	// position is the answer to the position statements.
 	position string
-	// silent connections accept statements and never answer.
-	silent map[int]bool
-	conns  map[int]net.Conn
+	conns    map[int]net.Conn
 }
 
 func startScripted(t testing.TB) *scripted {
@@ -32,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scripted{listener: listener, position: "0/100", silent: map[int]bool{}, conns: map[int]net.Conn{}}
+	s := &scripted{listener: listener, position: "0/100", conns: map[int]net.Conn{}}
 	var serving sync.WaitGroup
 	serving.Go(func() {
 		for {
@@ -66,14 +63,11 @@
 	s.mu.Lock()
 	number := s.total
 	s.total++
-	s.open++
-	s.most = max(s.most, s.open)
 	s.conns[number] = conn
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.open--
 		delete(s.conns, number)
 	}()
 	backend.Send(&pgproto3.AuthenticationOk{})
@@ -92,9 +86,7 @@
 		if !ok {
 			return
 		}
-		if s.mute(number, query.String) {
-			continue
-		}
+		s.note(query.String)
 		status = s.answer(backend, query.String, status)
 		if backend.Flush() != nil {
 			return
@@ -102,11 +94,10 @@
 	}
 }
 
-func (s *scripted) mute(number int, statement string) bool {
+func (s *scripted) note(statement string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.statements = append(s.statements, statement)
-	return s.silent[number]
 }
 
 func (s *scripted) answer(backend *pgproto3.Backend, statement string, status byte) byte {
@@ -123,6 +114,10 @@
 		return status
 	case "SELECT pg_current_wal_lsn()":
 		backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(s.position)}})
+	case "SELECT pg_is_in_recovery()":
+		backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("f")}})
+	case "SELECT timeline_id FROM pg_control_checkpoint()":
+		backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte("1")}})
 	}
 	backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
 	backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
@@ -141,18 +136,6 @@
 	return n
 }
 
-func (s *scripted) silence(number int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silent[number] = true
-}
-
-func (s *scripted) numbers() (open, most, total int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.open, s.most, s.total
-}
-
 // leaders is a proxy.Leaders of one primary for all groups.
 type leaders struct {
 	mu         sync.Mutex
@@ -211,3 +194,9 @@
 	defer m.mu.Unlock()
 	return m.now
 }
+
+func (m *manual) move(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
--- a/internal/pool/states.go
+++ b/internal/pool/states.go
@@ -22,8 +22,11 @@
 
 type groupStates struct {
 	states map[proxy.InstanceID]proxy.InstanceState
-	// term is the term of marks.
-	term proxy.Term
+	// timeline is the timeline that the primary of term writes. The number of a
+	// timeline alone does not tell the term, since a promotion that fails uses
+	// up a term or a timeline.
+	timeline uint32
+	term     proxy.Term
 	// marks are positions of the primary, in ascending order.
 	marks []mark
 }
@@ -34,8 +37,10 @@
 	position proxy.Position
 }
 
-// record keeps a measurement and returns the state.
-func (s *states) record(i *instance, m measurement, term proxy.Term, leadership proxy.Leadership, known bool) proxy.InstanceState {
+// record keeps a measurement and returns the state. The leadership is known if
+// it did not change during the measurement. The term of a state is zero where
+// the instance does not follow the primary last known.
+func (s *states) record(i *instance, m measurement, leadership proxy.Leadership, known bool) proxy.InstanceState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.group(i.group)
@@ -46,12 +51,17 @@
 	state.Instance = i.id
 	state.Zone = i.zone
 	state.Primary = !m.recovery
-	state.Term = term
+	state.Term = 0
 	state.Replayed = m.position
 	state.Seen = m.seen
 	state.Delay += (m.delay - state.Delay) / delayWeight
-	if known && leadership.Term == term {
-		g.follow(&state, leadership)
+	primary := known && i.id == leadership.Primary && state.Primary
+	if primary {
+		g.bind(m.timeline, leadership.Term)
+	}
+	if m.timeline == g.timeline {
+		state.Term = g.term
+		g.follow(&state, primary)
 	}
 	g.states[i.id] = state
 	return state
@@ -69,18 +79,22 @@
 	return g
 }
 
+// bind records which term a timeline belongs to.
+func (g *groupStates) bind(timeline uint32, term proxy.Term) {
+	if g.timeline == timeline && g.term == term {
+		return
+	}
+	g.timeline = timeline
+	g.term = term
+	g.marks = nil
+}
+
 // follow adds a mark for the primary of the term or derives from the marks when
 // a replica was current.
-func (g *groupStates) follow(state *proxy.InstanceState, leadership proxy.Leadership) {
-	if g.term != leadership.Term {
-		g.term = leadership.Term
-		g.marks = nil
-	}
-	if state.Instance == leadership.Primary {
-		if state.Primary {
-			state.Current = state.Seen
-			g.mark(mark{state.Seen, state.Replayed})
-		}
+func (g *groupStates) follow(state *proxy.InstanceState, primary bool) {
+	if primary {
+		state.Current = state.Seen
+		g.mark(mark{state.Seen, state.Replayed})
 		return
 	}
 	for n := len(g.marks) - 1; n >= 0; n-- {
