--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -33,7 +33,7 @@
 	Clients   ClientSettings    `json:"clients"`
 	Fleet     FleetSettings     `json:"fleet"`
 	Instances InstancesSettings `json:"instances"`
-	Log       LogSettings       `json:"log,optional"`
+	Log       LogSettings       `json:"log"`
 	// Grace limits the time that a planned stop waits for running requests.
 	Grace time.Duration `json:"grace,default=30s"`
 }
