--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,52 @@
+// Command capacity measures the slopes that docs/CAPACITY.md is derived from
+// and draws them.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/auburnyoke/auburnyoke/internal/capacity"
+)
+
+type options struct {
+	Pictures string `long:"pictures" default:"docs/capacity" description:"directory for the pictures"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			os.Exit(0)
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if err := os.MkdirAll(o.Pictures, 0o755); err != nil {
+		return fmt.Errorf("make directory: %w", err)
+	}
+	fmt.Println("| slope | unit | line | largest residual |\n| --- | --- | --- | --- |")
+	for _, measure := range capacity.All() {
+		slopes, err := measure()
+		if err != nil {
+			return fmt.Errorf("measure: %w", err)
+		}
+		for _, slope := range slopes {
+			fmt.Println(slope.String())
+			if err := slope.Draw(o.Pictures); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/control.go
@@ -0,0 +1,212 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+)
+
+const (
+	// controlTick is the daemon's interval of control decisions.
+	controlTick = 100 * time.Millisecond
+	// controlSpan is the virtual time over which control is measured.
+	controlSpan = 2 * time.Minute
+)
+
+// Cost of one host's control module, per second of virtual time.
+type controlCost struct {
+	processor float64 // microseconds of processor time a second
+	traffic   float64 // bytes sent a second
+	memory    float64 // bytes held
+}
+
+// peers returns n other hosts in six zones.
+func peers(n int) []proxy.HostState {
+	states := make([]proxy.HostState, n)
+	for i := range n {
+		states[i] = proxy.HostState{
+			ID: proxy.HostID(fmt.Sprintf("host-%04d", i)), Zone: proxy.Zone(fmt.Sprintf("zone-%d", i%6)),
+			Address: fmt.Sprintf("127.0.0.1:%d", 10_000+i), Incarnation: proxy.Incarnation(i + 1),
+		}
+	}
+	return states
+}
+
+// drive runs one module for controlSpan against peers that answer at once and
+// returns its cost. Only the module's own work and traffic are counted.
+func drive(module proxy.Module, answer func(now proxy.Instant, send proxy.Send) proxy.Event) (controlCost, error) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var cost controlCost
+	var busy time.Duration
+	handle := func(now proxy.Instant, event proxy.Event) []proxy.Effect {
+		start := time.Now()
+		effects := module.Handle(now, event)
+		busy += time.Since(start)
+		return effects
+	}
+	for now := proxy.Instant(1); now < proxy.Instant(controlSpan); now = now.Add(controlTick) {
+		pending := handle(now, proxy.Tick{Random: random.Uint64()})
+		for len(pending) > 0 {
+			effect := pending[0]
+			pending = pending[1:]
+			send, ok := effect.(proxy.Send)
+			if !ok {
+				continue
+			}
+			encoded, err := cbor.Marshal(send.Message)
+			if err != nil {
+				return controlCost{}, fmt.Errorf("encode message: %w", err)
+			}
+			cost.traffic += float64(len(encoded))
+			if event := answer(now, send); event != nil {
+				pending = append(pending, handle(now, event)...)
+			}
+		}
+	}
+	seconds := controlSpan.Seconds()
+	cost.processor = float64(busy.Microseconds()) / seconds
+	cost.traffic /= seconds
+	return cost, nil
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// Member measures membership against the number of hosts.
+func Member() ([]Slope, error) {
+	return controlSlopes("member", []int{65, 130, 260, 520}, func(n int) (controlCost, error) {
+		before := heap()
+		states := peers(n)
+		self := proxy.HostState{ID: "self", Zone: "zone-0", Address: "127.0.0.1:9999", Incarnation: 1}
+		table := &member.Table{Self: self}
+		table.Handle(1, member.Seed{Hosts: states})
+		byID := make(map[proxy.HostID]proxy.HostState, n)
+		for _, s := range states {
+			byID[s.ID] = s
+		}
+		cost, err := drive(table, func(_ proxy.Instant, send proxy.Send) proxy.Event {
+			ping, ok := send.Message.(*member.Ping)
+			if !ok {
+				return nil
+			}
+			return proxy.Received{From: send.To, Message: &member.Ack{Nonce: ping.Nonce, From: byID[send.To]}}
+		})
+		cost.memory = heap() - before
+		runtime.KeepAlive(table)
+		return cost, err
+	})
+}
+
+// Configuration measures the exchange of revisions against the number of hosts.
+func Configuration() ([]Slope, error) {
+	return controlSlopes("configuration", []int{65, 130, 260, 520}, func(n int) (controlCost, error) {
+		before := heap()
+		self := proxy.HostState{ID: "self", Zone: "zone-0", Address: "127.0.0.1:9999", Incarnation: 1}
+		table := &configuration.Table{Host: self, Key: "document", Decode: func(data []byte) (configuration.Loaded, error) {
+			return configuration.Loaded{Revision: 1, Document: &proxy.Document{}, Data: data}, nil
+		}}
+		table.Handle(1, configuration.Peers{Live: peers(n), Known: n})
+		table.Handle(1, proxy.Fetched{Object: proxy.Object{Key: "document", Value: []byte("1")}, Sent: 1})
+		cost, err := drive(table, func(_ proxy.Instant, send proxy.Send) proxy.Event {
+			poll, ok := send.Message.(*configuration.Poll)
+			if !ok {
+				return nil
+			}
+			report := &configuration.Report{Nonce: poll.Nonce, Revision: 1, Reached: true, Age: time.Second}
+			return proxy.Received{From: send.To, Message: report}
+		})
+		cost.memory = heap() - before
+		runtime.KeepAlive(table)
+		return cost, err
+	})
+}
+
+// controlSlopes measures a module at several sizes.
+func controlSlopes(name string, sizes []int, measure func(n int) (controlCost, error)) ([]Slope, error) {
+	slopes := []Slope{
+		{Name: name + "-processor", Title: name + ": processor time of a host", SizeUnit: "hosts", CostUnit: "µs/s"},
+		{Name: name + "-traffic", Title: name + ": bytes sent by a host", SizeUnit: "hosts", CostUnit: "B/s"},
+		{Name: name + "-memory", Title: name + ": memory of a host", SizeUnit: "hosts", CostUnit: "B"},
+	}
+	for _, n := range sizes {
+		cost, err := measure(n)
+		if err != nil {
+			return nil, fmt.Errorf("%s with %d hosts: %w", name, n, err)
+		}
+		for i, value := range []float64{cost.processor, cost.traffic, cost.memory} {
+			slopes[i].Points = append(slopes[i].Points, Point{Size: float64(n), Cost: value})
+		}
+	}
+	return fitted(slopes)
+}
+
+func fitted(slopes []Slope) ([]Slope, error) {
+	for i := range slopes {
+		if err := slopes[i].fit(); err != nil {
+			return nil, err
+		}
+	}
+	return slopes, nil
+}
+
+// Document measures a document's size and decoding time against the number of
+// database groups.
+func Document() ([]Slope, error) {
+	slopes := []Slope{
+		{Name: "document-size", Title: "document: size", SizeUnit: "groups", CostUnit: "B"},
+		{Name: "document-decode", Title: "document: time to decode and check", SizeUnit: "groups", CostUnit: "ms"},
+	}
+	for _, n := range []int{150, 300, 600, 1200} {
+		text := []byte(documentText(n))
+		const rounds = 3
+		start := time.Now()
+		for range rounds {
+			if _, err := environment.Decode(text); err != nil {
+				return nil, fmt.Errorf("document with %d groups: %w", n, err)
+			}
+		}
+		took := float64(time.Since(start).Microseconds()) / rounds / 1000
+		slopes[0].Points = append(slopes[0].Points, Point{Size: float64(n), Cost: float64(len(text))})
+		slopes[1].Points = append(slopes[1].Points, Point{Size: float64(n), Cost: took})
+	}
+	return fitted(slopes)
+}
+
+// documentText writes a document with n groups of three instances, one route
+// for each group and one account for each ten.
+func documentText(n int) string {
+	const verifier = "SCRAM-SHA-256$4096:KI+YpNybAM56ceM/tV+gRw==$fBTxln07JfdoplVWpUeEChArOH0cQmEVdCoVBnzsnyA=:LzWspLJuzJ5ZoZ5uxPUc3P+jKoGaQIfSZlzYiU4EV7g="
+	var b strings.Builder
+	b.WriteString("environment: large\naccounts:\n")
+	for i := range n / 10 {
+		fmt.Fprintf(&b, "- {id: account-%d, rate: 100, burst: 200, keys: [{id: key-%d, verifier: %q}]}\n", i, i, verifier)
+	}
+	b.WriteString("groups:\n")
+	for i := range n {
+		fmt.Fprintf(&b, "- id: group-%d\n  connections: 16\n  slots: 2\n  database: data\n  instances:\n", i)
+		for j := range 3 {
+			port := 10_000 + 3*i + j
+			fmt.Fprintf(&b, "  - {id: group-%d-%d, zone: zone-%d, address: '127.0.0.1:%d', trial: '127.0.0.2:%d', primary: %v}\n",
+				i, j, (i+j)%6, port, port, j == 0)
+		}
+	}
+	b.WriteString("routes:\n")
+	for i := range n {
+		fmt.Fprintf(&b, "- {id: route-%d, group: group-%d, accounts: [account-%d], access: write}\n", i, i, i%(n/10))
+	}
+	return b.String()
+}
