--- a/internal/inner/borrow.go
+++ b/internal/inner/borrow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
@@ -29,11 +30,25 @@
 	return fmt.Sprintf("pool host %s: %v", u.Address, u.Err)
 }
 
-// Unwrap returns a refusal, since nothing of the request was sent.
+// Unwrap returns the refusal that the cause carries or one of its own, since
+// nothing of the request was sent.
 func (u *Unreachable) Unwrap() []error {
+	var r *proxy.Refusal
+	if errors.As(u.Err, &r) && r.Outcome == proxy.NotRun {
+		return []error{u.Err}
+	}
 	return []error{proxy.Refuse(proxy.CannotConnectNow, "pool host is not reachable"), u.Err}
 }
 
+const (
+	// answerShare is the part of the patience, as a divisor, that is left for
+	// the way of the pool's answer, at most answerTime.
+	answerShare = 10
+	answerTime  = 50 * time.Millisecond
+	// retryAfter is what callers are told when no connection was lent in time.
+	retryAfter = 100 * time.Millisecond
+)
+
 // Lend implements proxy.Lender. A free peer connection that fails is replaced
 // once by a new one.
 func (r remote) Lend(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
@@ -41,11 +56,11 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, ask.Patience)
 		defer cancel()
+		ask.Patience -= min(ask.Patience/answerShare, answerTime)
 	}
 	if p := r.client.take(r.address); p != nil {
 		loan, err := r.client.open(ctx, p, ask)
-		var unreachable *Unreachable
-		if err == nil || ctx.Err() != nil || !errors.As(err, &unreachable) {
+		if err == nil || ctx.Err() != nil || !unreachable(err) {
 			return loan, err
 		}
 	}
@@ -56,46 +71,63 @@
 	return r.client.open(ctx, p, ask)
 }
 
+func unreachable(err error) bool {
+	var u *Unreachable
+	return errors.As(err, &u)
+}
+
 // open starts a stream on the peer connection and waits for the loan.
 func (c *Client) open(ctx context.Context, p *peer, ask proxy.Ask) (proxy.Loan, error) {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, end)
-	l, err := c.request(life, p, ask)
-	if !stop() && err == nil {
-		err = &Unreachable{p.address, ctx.Err()}
+	l := &loan{client: c, peer: p, end: end}
+	err := l.request(life, ask)
+	if !stop() {
+		l.abandon()
+		r := proxy.Refuse(proxy.TooManyConnections, "no connection to group %s was lent in time", ask.Group)
+		r.RetryAfter = retryAfter
+		return nil, &Unreachable{p.address, r}
 	}
 	if err == nil {
-		l.end = end
 		return l, nil
 	}
-	var unreachable *Unreachable
-	if !errors.As(err, &unreachable) {
-		_ = l.channel.stream.Close()
-		c.put(p)
-		end()
-		return nil, err
-	}
-	end()
-	_ = p.Close()
-	if ctx.Err() != nil {
-		refusal := proxy.Refuse(proxy.TooManyConnections, "no connection to group %s was lent in time", ask.Group)
-		return nil, &Unreachable{p.address, refusal}
+	if unreachable(err) {
+		l.abandon()
+	} else {
+		l.giveBack()
 	}
 	return nil, err
 }
 
-// request returns the loan, an Unreachable or the pool's refusal.
-func (c *Client) request(life context.Context, p *peer, ask proxy.Ask) (*loan, error) {
-	stream, err := p.NewStream(life, lendRPC, c.Codec)
+// request asks for the loan. It returns an Unreachable or the pool's refusal.
+func (l *loan) request(life context.Context, ask proxy.Ask) error {
+	stream, err := l.peer.NewStream(life, lendRPC, l.client.Codec)
 	if err != nil {
-		return nil, &Unreachable{p.address, err}
+		return &Unreachable{l.peer.address, err}
 	}
-	l := &loan{client: c, peer: p, channel: channel{stream, c.Codec}}
-	if err = l.channel.send(askFrame, &opening{Ask: ask, Client: c.Nonce}); err != nil {
-		return l, &Unreachable{p.address, err}
+	l.channel = channel{stream, l.client.Codec}
+	if err = l.channel.send(askFrame, &opening{Ask: ask, Client: l.client.Nonce}); err != nil {
+		return &Unreachable{l.peer.address, err}
 	}
+	l.signs = startAlive(l.channel, l.client.alive())
 	if err = l.channel.receive(&l.frame); err != nil {
-		return l, &Unreachable{p.address, err}
+		return &Unreachable{l.peer.address, err}
+	}
+	return l.accept()
+}
+
+// giveBack ends the stream and keeps the peer connection.
+func (l *loan) giveBack() {
+	l.signs.stop()
+	_ = l.channel.stream.Close()
+	l.client.put(l.peer)
+}
+
+// abandon closes the peer connection, which ends the stream.
+func (l *loan) abandon() {
+	if l.signs != nil {
+		l.signs.stop()
 	}
-	return l, l.accept()
+	l.end()
+	_ = l.peer.Close()
 }
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -17,18 +17,24 @@
 // defaultDialTimeout limits the opening of a peer connection.
 const defaultDialTimeout = 2 * time.Second
 
+// maxChecks is the number of checks without a use after which a free connection
+// is closed.
+const maxChecks = 60
+
 // Client borrows connections from other hosts' pools. The exported fields are
 // set before Run.
 type Client struct {
 	Codec *Codec
-	Clock proxy.Clock
+	// Registry knows the control messages; nil where there are none.
+	Registry *Registry
+	Clock    proxy.Clock
 	// Nonce is a random number other than zero, drawn at the start.
 	Nonce uint64
 	// TLS authenticates this host to the peers; nil connects without TLS.
 	TLS *tls.Config
 	// DialTimeout limits the opening of a peer connection.
 	DialTimeout time.Duration
-	// Alive is the interval of the signs of life.
+	// Alive is the interval of the signs of life, the same on all hosts.
 	Alive  time.Duration
 	Logger zerolog.Logger
 
@@ -41,6 +47,8 @@
 type peer struct {
 	*drpcconn.Conn
 	address string
+	// checks counts the checks since the last use.
+	checks int
 }
 
 func (p *peer) dead() bool {
@@ -75,22 +83,36 @@
 	return c.Alive
 }
 
-// check pings the free connections and closes those that do not answer.
+// check pings the free connections that were unused since the last check and
+// closes those that do not answer or were unused for long.
 func (c *Client) check(ctx context.Context) {
 	c.mu.Lock()
-	all := c.free
-	c.free = nil
-	c.mu.Unlock()
-	var wait sync.WaitGroup
-	for _, peers := range all {
+	var idle []*peer
+	for address, peers := range c.free {
+		kept := peers[:0]
 		for _, p := range peers {
-			wait.Go(func() { c.ping(ctx, p) })
+			p.checks++
+			if p.checks == 1 {
+				kept = append(kept, p)
+			} else {
+				idle = append(idle, p)
+			}
 		}
+		c.free[address] = kept
+	}
+	c.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, p := range idle {
+		wait.Go(func() { c.ping(ctx, p) })
 	}
 	wait.Wait()
 }
 
 func (c *Client) ping(ctx context.Context, p *peer) {
+	if p.checks > maxChecks {
+		_ = p.Close()
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.alive())
 	defer cancel()
 	if err := p.Invoke(ctx, pingRPC, c.Codec, &nothing{}, &nothing{}); err != nil {
@@ -113,6 +135,7 @@
 		p := peers[len(peers)-1]
 		c.free[address] = peers[:len(peers)-1]
 		if !p.dead() {
+			p.checks = 0
 			return p
 		}
 		_ = p.Close()
--- /dev/null
+++ b/internal/inner/deliver.go
@@ -0,0 +1,72 @@
+package inner
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// maxBatch is the largest accepted number of messages in a batch.
+const maxBatch = 1024
+
+// batch is the content of one Deliver.
+type batch struct {
+	From    proxy.HostID `cbor:"1,keyasint"`
+	Parcels []parcel     `cbor:"2,keyasint"`
+}
+
+// Validate implements proxy.Message.
+func (b *batch) Validate() error {
+	if len(b.Parcels) > maxBatch {
+		return eris.Errorf("batch of %d messages: at most %d are allowed", len(b.Parcels), maxBatch)
+	}
+	return proxy.CheckID("host", string(b.From))
+}
+
+// deliver hands the messages of a batch to Deliver. Messages of unknown kinds
+// are skipped, since hosts of two releases run side by side during an update.
+func (s *Server) deliver(_ context.Context, b *batch) (*nothing, error) {
+	if s.Registry == nil || s.Deliver == nil {
+		return nil, eris.New("this host accepts no control messages")
+	}
+	for _, p := range b.Parcels {
+		message, err := s.Registry.unpack(s.Codec, p)
+		if err != nil {
+			metrics.GetOrRegisterCounter("inner.message.rejected", s.Metrics).Inc(1)
+			s.Logger.Warn().Err(err).Str("from", string(b.From)).Msg("control message rejected")
+			continue
+		}
+		s.Deliver(proxy.Received{From: b.From, Message: message})
+	}
+	return &nothing{}, nil
+}
+
+// Deliver sends control messages to the host at address in one batch. It returns
+// when the host has accepted the batch.
+func (c *Client) Deliver(ctx context.Context, address string, from proxy.HostID, messages []proxy.Message) error {
+	b := batch{From: from}
+	for _, message := range messages {
+		p, err := c.Registry.pack(c.Codec, message)
+		if err != nil {
+			return fmt.Errorf("batch for host %s: %w", address, err)
+		}
+		b.Parcels = append(b.Parcels, p)
+	}
+	p := c.take(address)
+	if p == nil {
+		var err error
+		if p, err = c.connect(ctx, address); err != nil {
+			return err
+		}
+	}
+	if err := p.Invoke(ctx, deliverRPC, c.Codec, &b, &nothing{}); err != nil {
+		_ = p.Close()
+		return fmt.Errorf("deliver to host %s: %w", address, err)
+	}
+	c.put(p)
+	return nil
+}
--- /dev/null
+++ b/internal/inner/export_test.go
@@ -0,0 +1,9 @@
+package inner
+
+import "github.com/auburnyoke/auburnyoke/pkg/proxy"
+
+// NewWireMessage returns an empty message of one of the types that peers send.
+func NewWireMessage(kind byte) any {
+	messages := []any{&frame{}, &opening{}, &granted{}, &confirmation{}, &returned{}, &batch{}, &nothing{}, &proxy.Refusal{}}
+	return messages[int(kind)%len(messages)]
+}
--- /dev/null
+++ b/internal/inner/fuzz_test.go
@@ -0,0 +1,29 @@
+package inner_test
+
+import (
+	"testing"
+
+	"github.com/auburnyoke/auburnyoke/internal/inner"
+)
+
+// FuzzDecode guards against input of a peer that makes decoding panic, and
+// against accepted messages that do not survive another round of encoding.
+func FuzzDecode(f *testing.F) {
+	codec, err := inner.NewCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
+		message := inner.NewWireMessage(kind)
+		if codec.Unmarshal(data, message) != nil {
+			return
+		}
+		encoded, err := codec.Marshal(message)
+		if err != nil {
+			t.Fatalf("accepted message %#v is not encoded: %v", message, err)
+		}
+		if err = codec.Unmarshal(encoded, inner.NewWireMessage(kind)); err != nil {
+			t.Fatalf("accepted message %#v is not accepted again: %v", message, err)
+		}
+	})
+}
--- a/internal/inner/inner_test.go
+++ b/internal/inner/inner_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
@@ -14,140 +16,235 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// lender lends one end of a pipe; the test serves the other end.
-type lender struct {
-	serve func(net.Conn)
-	term  proxy.Term
-
-	mu      sync.Mutex
-	asks    []proxy.Ask
-	returns chan proxy.Return
+func ask(session uint64) proxy.Ask {
+	return proxy.Ask{Group: "orders", Account: "clerks", Access: proxy.Write, Weight: 1, Session: session, Patience: 10 * time.Second}
 }
 
-type fakeLoan struct {
-	lender *lender
-	conn   net.Conn
+// query runs a statement and returns the first value of each row.
+func query(loan proxy.Loan, statement string) (values []string, err error) {
+	f := loan.Frontend()
+	f.SendQuery(&pgproto3.Query{String: statement})
+	if err = f.Flush(); err != nil {
+		return nil, err
+	}
+	for {
+		m, receiveErr := f.Receive()
+		if receiveErr != nil {
+			return nil, receiveErr
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			values = append(values, string(m.Values[0]))
+		case *pgproto3.ErrorResponse:
+			err = pgconn.ErrorResponseToPgError(m)
+		case *pgproto3.ReadyForQuery:
+			return values, err
+		}
+	}
 }
 
-func (l *lender) Lend(_ context.Context, ask proxy.Ask) (proxy.Loan, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.asks = append(l.asks, ask)
-	if ask.Group == "full" {
-		r := proxy.Refuse(proxy.TooManyConnections, "full")
-		r.RetryAfter = time.Second
-		return nil, r
+// Guards against answers of one loan that reach another on the same peer
+// connection, a connection that is not reset between the sessions of two fronts,
+// and a confirmation that loses its bookmark.
+func TestRemoteLoans(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, 2)
+	front, other := h.client(t, 1), h.client(t, 2)
+	for _, step := range []struct {
+		client *inner.Client
+		same   bool
+	}{{front, false}, {front, true}, {other, false}, {other, true}, {front, false}} {
+		loan, err := step.client.At(h.address).Lend(t.Context(), ask(5))
+		is.NoErr(err)
+		is.Equal(loan.Lent(), proxy.Lent{Instance: "one", Primary: true, Term: 3, Same: step.same})
+		values, err := query(loan, "SELECT 1")
+		is.NoErr(err)
+		is.Equal(values, []string{"1"})
+		at, err := loan.Confirm(t.Context())
+		is.NoErr(err)
+		is.Equal(at.Term, proxy.Term(3))
+		loan.Release(proxy.Return{Wrote: true})
 	}
-	near, far := net.Pipe()
-	go l.serve(far)
-	return &fakeLoan{l, near}, nil
 }
 
-func (f *fakeLoan) Lent() proxy.Lent {
-	return proxy.Lent{Instance: "one", Primary: true, Term: f.lender.term}
-}
-func (f *fakeLoan) Frontend() *pgproto3.Frontend { return pgproto3.NewFrontend(f.conn, f.conn) }
-func (f *fakeLoan) Raw() net.Conn                { return f.conn }
-func (f *fakeLoan) Valid() time.Duration         { return time.Hour }
-func (f *fakeLoan) Cancel(context.Context) error { return nil }
-func (f *fakeLoan) Release(r proxy.Return)       { _ = f.conn.Close(); f.lender.returns <- r }
-func (f *fakeLoan) Confirm(context.Context) (proxy.Bookmark, error) {
-	return proxy.Bookmark{Term: f.lender.term, Position: 7}, nil
+// Guards against a refusal that loses its state or its outcome on the way.
+func TestRemoteRefusal(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, 2)
+	lender := h.client(t, 1).At(h.address)
+	unknown := ask(1)
+	unknown.Group = "unknown"
+	_, err := lender.Lend(t.Context(), unknown)
+	refusal := proxy.AsRefusal(err)
+	is.Equal(refusal.State, proxy.TooManyConnections)
+	is.Equal(refusal.Outcome, proxy.NotRun)
+	is.True(refusal.RetryAfter > 0)
+	_, err = h.client(t, 1).At("127.0.0.1:1").Lend(t.Context(), ask(1))
+	var unreachable *inner.Unreachable
+	is.True(errors.As(err, &unreachable))
+	is.Equal(proxy.AsRefusal(err).Outcome, proxy.NotRun)
 }
 
-type frozen struct{}
-
-func (frozen) Now() proxy.Instant { return 1 }
+// Guards against a transaction that stays open when the front's connection
+// breaks or stops responding.
+func TestBrokenFrontRollsBack(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(*link)
+	}{{"cut", (*link).cut}, {"silent", (*link).mute}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := startHost(t, 3)
+			l := startLink(t, h.address)
+			loan, err := h.client(t, 1).At(l.address()).Lend(t.Context(), ask(1))
+			is.NoErr(err)
+			_, err = query(loan, "BEGIN")
+			is.NoErr(err)
+			_, err = query(loan, "INSERT INTO kv VALUES ('rug', 'sold')")
+			is.NoErr(err)
+			c.harm(l)
+			_, err = query(loan, "COMMIT")
+			is.True(err != nil)
+			is.Equal(proxy.AsRefusal(err).Outcome, proxy.Unknown)
+			loan.Release(proxy.Return{Broken: true})
+			local, err := h.pool.Lend(t.Context(), ask(2))
+			is.NoErr(err)
+			// The insert waits for the end of the broken transaction.
+			_, err = query(local, "INSERT INTO kv VALUES ('rug', 'kept')")
+			is.NoErr(err)
+			local.Release(proxy.Return{})
+		})
+	}
+}
 
-// echo answers each simple query with its text as the command tag.
-func echo(conn net.Conn) {
-	backend := pgproto3.NewBackend(conn, conn)
-	for {
-		m, err := backend.Receive()
-		if err != nil {
-			return
-		}
-		q, ok := m.(*pgproto3.Query)
-		if !ok {
-			return
+// Guards against a result that is lost, reordered or buffered without limit on
+// its way, and against a cancel that waits for the result.
+func TestLargeResultAndCancel(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, 2)
+	loan, err := h.client(t, 1).At(h.address).Lend(t.Context(), ask(1))
+	is.NoErr(err)
+	values, err := query(loan, "SELECT * FROM generate_series(1, 100000)")
+	is.NoErr(err)
+	is.Equal(len(values), 100000)
+	is.Equal(values[len(values)-1], "100000")
+	f := loan.Frontend()
+	f.SendQuery(&pgproto3.Query{String: "SELECT pg_sleep(3600)"})
+	is.NoErr(f.Flush())
+	// A cancel request that comes before the statement runs has no effect.
+	run(t, func(ctx context.Context) {
+		for ctx.Err() == nil && loan.Cancel(ctx) == nil {
+			time.Sleep(10 * time.Millisecond)
 		}
-		backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(q.String)})
-		backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-		if backend.Flush() != nil {
-			return
+	})
+	for {
+		m, err := f.Receive()
+		is.NoErr(err)
+		if e, ok := m.(*pgproto3.ErrorResponse); ok {
+			is.Equal(e.Code, string(proxy.QueryCanceled))
+			break
 		}
 	}
+	loan.Release(proxy.Return{Broken: true})
 }
 
-// start runs a server for l and returns a lender that borrows from it.
-func start(t testing.TB, l *lender) (proxy.Lender, context.CancelFunc) {
-	t.Helper()
-	codec, err := inner.NewCodec()
-	if err != nil {
-		t.Fatal(err)
+type note struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func (n *note) Validate() error {
+	if n.Text == "" {
+		return errors.New("note: empty")
 	}
+	return nil
+}
+
+// Guards against control messages that are lost, that lose their sender or that
+// are accepted although they are invalid.
+func TestDeliver(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, 2)
+	client := h.client(t, 1)
+	is.NoErr(client.Deliver(t.Context(), h.address, "host-1", []proxy.Message{&note{"first"}, &note{""}, &note{"second"}}))
+	is.Equal(<-h.delivered, proxy.Received{From: "host-1", Message: &note{"first"}})
+	is.Equal(<-h.delivered, proxy.Received{From: "host-1", Message: &note{"second"}})
+	is.True(client.Deliver(t.Context(), h.address, "Host 1", nil) != nil) // an invalid sender
+}
+
+// link forwards connections to a server and can be harmed.
+type link struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	conns []net.Conn
+	muted bool
+}
+
+func startLink(t testing.TB, target string) *link {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	clientCtx, stopClient := context.WithCancel(ctx)
-	server := &inner.Server{Lender: l, Codec: codec}
-	client := &inner.Client{Codec: codec, Clock: frozen{}, Nonce: 42}
+	l := &link{listener: listener, target: target}
 	var running sync.WaitGroup
-	running.Go(func() { _ = server.Run(ctx, listener) })
-	running.Go(func() { client.Run(clientCtx) })
-	t.Cleanup(func() { cancel(); running.Wait() })
-	return client.At(listener.Addr().String()), stopClient
+	running.Go(func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			l.mu.Lock()
+			l.conns = append(l.conns, near, far)
+			l.mu.Unlock()
+			running.Go(func() { l.forward(near, far) })
+			running.Go(func() { l.forward(far, near) })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close(); l.cut(); running.Wait() })
+	return l
 }
 
-func query(t testing.TB, loan proxy.Loan, statement string) string {
-	t.Helper()
-	f := loan.Frontend()
-	f.SendQuery(&pgproto3.Query{String: statement})
-	if err := f.Flush(); err != nil {
-		t.Fatal(err)
-	}
-	tag := ""
+func (l *link) address() string { return l.listener.Addr().String() }
+
+func (l *link) forward(from, to net.Conn) {
+	buffer := make([]byte, 4096)
 	for {
-		m, err := f.Receive()
+		n, err := from.Read(buffer)
+		l.mu.Lock()
+		muted := l.muted
+		l.mu.Unlock()
+		if muted {
+			continue
+		}
 		if err != nil {
-			t.Fatal(err)
+			_ = to.Close()
+			return
 		}
-		switch m := m.(type) {
-		case *pgproto3.CommandComplete:
-			tag = string(m.CommandTag)
-		case *pgproto3.ReadyForQuery:
-			return tag
+		if _, err = to.Write(buffer[:n]); err != nil {
+			_ = from.Close()
+			return
 		}
 	}
 }
 
-// Guards against answers of one loan that reach another loan on the same peer
-// connection, and against a confirmation that loses its bookmark.
-func TestRemoteLoans(t *testing.T) {
-	is := is.New(t)
-	l := &lender{serve: echo, term: 3, returns: make(chan proxy.Return, 1)}
-	remote, _ := start(t, l)
-	for _, statement := range []string{"first", "second", "third"} {
-		loan, err := remote.Lend(t.Context(), proxy.Ask{Group: "orders", Access: proxy.Write, Weight: 1, Session: 5})
-		is.NoErr(err)
-		is.Equal(loan.Lent(), proxy.Lent{Instance: "one", Primary: true, Term: 3})
-		is.Equal(query(t, loan, statement), statement)
-		at, err := loan.Confirm(t.Context())
-		is.NoErr(err)
-		is.Equal(at, proxy.Bookmark{Term: 3, Position: 7})
-		loan.Release(proxy.Return{Wrote: true})
-		is.Equal(<-l.returns, proxy.Return{Wrote: true})
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.muted = false
+	for _, c := range l.conns {
+		_ = c.Close()
 	}
-	is.True(l.asks[0].Session != 5) // sessions of different fronts differ
-	is.Equal(l.asks[0].Session, l.asks[1].Session)
 }
 
-// Guards against a refusal that loses its state or its outcome on the way.
-func TestRemoteRefusal(t *testing.T) {
-	is := is.New(t)
-	remote, _ := start(t, &lender{serve: echo})
-	_, err := remote.Lend(t.Context(), proxy.Ask{Group: "full", Access: proxy.Write, Weight: 1})
-	is.Equal(*proxy.AsRefusal(err), proxy.Refusal{State: proxy.TooManyConnections, Text: "full", Outcome: proxy.NotRun, RetryAfter: time.Second})
+func (l *link) mute() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.muted = true
 }
--- a/internal/inner/loan.go
+++ b/internal/inner/loan.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -20,6 +21,8 @@
 	lent     proxy.Lent
 	frontend *pgproto3.Frontend
 	released atomic.Bool
+	// timer ends the stream at the deadline.
+	timer *time.Timer
 	// frame is the frame received last.
 	frame frame
 	// unread holds received bytes that the Frontend has not read.
@@ -41,7 +44,6 @@
 	}
 	l.lent = g.Lent
 	l.frontend = pgproto3.NewFrontend(l, l)
-	l.signs = startAlive(l.channel, l.client.alive())
 	return nil
 }
 
@@ -51,6 +53,19 @@
 // Frontend implements proxy.Loan.
 func (l *loan) Frontend() *pgproto3.Frontend { return l.frontend }
 
+// SetDeadline ends the loan's stream at t unless it is called again before; zero
+// removes the limit.
+func (l *loan) SetDeadline(t time.Time) error {
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
+	}
+	if !t.IsZero() {
+		l.timer = time.AfterFunc(time.Until(t), l.end)
+	}
+	return nil
+}
+
 // Read implements io.Reader for the Frontend.
 func (l *loan) Read(p []byte) (int, error) {
 	for len(l.unread) == 0 {
@@ -142,12 +157,10 @@
 		l.client.Logger.Error().Msg("invariant violated: loan released twice")
 		return
 	}
-	l.signs.stop()
+	_ = l.SetDeadline(time.Time{})
 	if l.channel.send(releaseFrame, &returned{r}) != nil {
-		l.end()
-		_ = l.peer.Close()
+		l.abandon()
 		return
 	}
-	_ = l.channel.stream.Close()
-	l.client.put(l.peer)
+	l.giveBack()
 }
--- a/internal/inner/relay.go
+++ b/internal/inner/relay.go
@@ -9,9 +9,14 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// Raw is implemented by loans whose connection can be used below the Frontend.
-type Raw interface {
+// Loan is what the server needs of the loans of its Lender.
+type Loan interface {
+	proxy.Loan
+	// Raw returns the connection below the Frontend.
 	Raw() net.Conn
+	// ConfirmFor is Confirm with an answer that holds for a time counted from
+	// before the call.
+	ConfirmFor(ctx context.Context, valid time.Duration) (proxy.Bookmark, error)
 }
 
 // quieter is implemented by connections that follow the protocol.
@@ -20,20 +25,17 @@
 	Quiet() bool
 }
 
-// valider is implemented by loans that tell how long a confirmation holds.
-type valider interface {
-	Valid() time.Duration
-}
-
 // past is a deadline that makes blocked reads and writes return.
 var past = time.Unix(1, 0)
 
 // relay copies between a loan's stream and its connection.
 type relay struct {
 	channel channel
-	loan    proxy.Loan
+	loan    Loan
 	conn    net.Conn
-	pumping sync.WaitGroup
+	// validity is how long a confirmation holds.
+	validity time.Duration
+	pumping  sync.WaitGroup
 
 	mu   sync.Mutex
 	cond sync.Cond
@@ -51,8 +53,8 @@
 	failed bool
 }
 
-func newRelay(c channel, loan proxy.Loan, conn net.Conn) *relay {
-	r := &relay{channel: c, loan: loan, conn: conn, parked: true}
+func newRelay(c channel, loan Loan, validity time.Duration) *relay {
+	r := &relay{channel: c, loan: loan, conn: loan.Raw(), validity: validity, parked: true}
 	r.cond.L = &r.mu
 	return r
 }
@@ -150,14 +152,12 @@
 func (r *relay) confirm() error {
 	r.hold()
 	defer r.resume()
-	bookmark, err := r.loan.Confirm(r.channel.stream.Context())
+	answer := confirmation{Valid: r.validity}
+	var err error
+	answer.Bookmark, err = r.loan.ConfirmFor(r.channel.stream.Context(), r.validity)
 	if err != nil {
 		return r.channel.refuse(err)
 	}
-	answer := confirmation{Bookmark: bookmark}
-	if v, ok := r.loan.(valider); ok {
-		answer.Valid = v.Valid()
-	}
 	return r.channel.send(confirmedFrame, &answer)
 }
 
--- a/internal/inner/server.go
+++ b/internal/inner/server.go
@@ -21,6 +21,9 @@
 // defaultAlive is the default interval of the signs of life.
 const defaultAlive = time.Second
 
+// defaultValidity is the default validity of a confirmation.
+const defaultValidity = 200 * time.Millisecond
+
 // silences is the number of intervals without any byte after which a peer
 // connection is closed.
 const silences = 3
@@ -28,15 +31,23 @@
 // Server lends this host's connections to other hosts. The exported fields are
 // set before Run.
 type Server struct {
-	// Lender lends this host's connections. Its loans must implement Raw.
+	// Lender lends this host's connections. Its loans implement Loan.
 	Lender proxy.Lender
 	Codec  *Codec
+	// Registry knows the control messages and Deliver accepts them; both are nil
+	// where there are none.
+	Registry *Registry
+	Deliver  func(proxy.Received)
 	// TLS authenticates the peers; nil serves without TLS.
 	TLS *tls.Config
-	// Alive is the interval of the signs of life on open loans.
-	Alive   time.Duration
-	Logger  zerolog.Logger
-	Metrics metrics.Registry
+	// Alive is the interval of the signs of life, the same on all hosts.
+	Alive time.Duration
+	// Validity is how long a confirmation holds, counted by the front from
+	// before its request. It covers a round trip between zones and the time to
+	// write the client's answer.
+	Validity time.Duration
+	Logger   zerolog.Logger
+	Metrics  metrics.Registry
 }
 
 // Run serves connections of the listener until ctx ends.
@@ -44,6 +55,9 @@
 	if s.Alive <= 0 {
 		s.Alive = defaultAlive
 	}
+	if s.Validity <= 0 {
+		s.Validity = defaultValidity
+	}
 	if s.Metrics == nil {
 		s.Metrics = metrics.NewRegistry()
 	}
@@ -101,16 +115,15 @@
 	return ask
 }
 
-func (s *Server) relay(c channel, loan proxy.Loan) error {
-	raw, ok := loan.(Raw)
+func (s *Server) relay(c channel, lent proxy.Loan) error {
+	loan, ok := lent.(Loan)
 	if !ok {
-		loan.Release(proxy.Return{})
+		lent.Release(proxy.Return{})
 		return c.refuse(proxy.Refuse(proxy.InternalInconsistency, "the loan gives no access to its connection"))
 	}
 	if err := c.send(lentFrame, &granted{loan.Lent()}); err != nil {
 		loan.Release(proxy.Return{})
 		return err
 	}
-	r := newRelay(c, loan, raw.Raw())
-	return r.run()
+	return newRelay(c, loan, s.Validity).run()
 }
--- a/internal/inner/service.go
+++ b/internal/inner/service.go
@@ -8,15 +8,16 @@
 
 // The names of the rpcs.
 const (
-	lendRPC = "/pool/Lend"
-	pingRPC = "/pool/Ping"
+	lendRPC    = "/pool/Lend"
+	pingRPC    = "/pool/Ping"
+	deliverRPC = "/control/Deliver"
 )
 
 // service describes a Server to drpc.
 type service struct{ codec *Codec }
 
 // NumMethods implements drpc.Description.
-func (s service) NumMethods() int { return 2 }
+func (s service) NumMethods() int { return 3 }
 
 // Method implements drpc.Description.
 func (s service) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -31,6 +32,11 @@
 			return srv.(*Server).ping(ctx, in1.(*nothing))
 		}
 		return pingRPC, s.codec, receiver, (*Server).ping, true
+	case 2:
+		receiver := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+			return srv.(*Server).deliver(ctx, in1.(*batch))
+		}
+		return deliverRPC, s.codec, receiver, (*Server).deliver, true
 	}
 	return "", nil, nil, nil, false
 }
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -41,13 +41,15 @@
 // SetDeadline limits the reads and writes of Frontend; zero removes the limit.
 func (l *loan) SetDeadline(t time.Time) error { return l.conn.wire.SetDeadline(t) }
 
-// Valid returns how long an acknowledgement holds, counted from before the call
-// of Confirm that returned it.
-func (l *loan) Valid() time.Duration { return l.pool.Validity }
-
 // Confirm implements proxy.Loan.
 func (l *loan) Confirm(ctx context.Context) (proxy.Bookmark, error) {
-	now := l.pool.Clock.Now()
+	return l.ConfirmFor(ctx, 0)
+}
+
+// ConfirmFor is Confirm with an answer that holds for a time counted from before
+// the call, which leaves a caller on another host time to use it.
+func (l *loan) ConfirmFor(ctx context.Context, valid time.Duration) (proxy.Bookmark, error) {
+	until := l.pool.Clock.Now().Add(valid)
 	if err := l.checkTerm(); err != nil {
 		return proxy.Bookmark{}, err
 	}
@@ -60,9 +62,7 @@
 	if err = l.checkTerm(); err != nil {
 		return proxy.Bookmark{}, err
 	}
-	// The answer must hold until the end of its validity, which a remote caller
-	// counts from before its request.
-	until := max(now.Add(l.pool.Validity), l.pool.Clock.Now())
+	until = max(until, l.pool.Clock.Now())
 	if err = l.pool.Leaders.Acknowledge(until, l.instance.group, l.instance.id, at); err != nil {
 		return proxy.Bookmark{}, fmt.Errorf("acknowledge: %w", err)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -57,9 +57,6 @@
 	Poll time.Duration
 	// Horizon is the age of a measurement above which a replica gets no reads.
 	Horizon time.Duration
-	// Validity is how long an acknowledgement holds, counted from before the
-	// call of Confirm. It leaves a remote caller time to use the answer.
-	Validity time.Duration
 	// Queue limits the requests that wait for one instance.
 	Queue queue.Limits
 
