--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -18,6 +18,7 @@
 	// matters at their next tick.
 	driverBacklog = 1024
 	watchPause    = 500 * time.Millisecond
+	sendTimeout   = 500 * time.Millisecond
 )
 
 // Driver carries out the effects of decision modules on a pool of workers and
@@ -27,11 +28,10 @@
 	Clock  proxy.Clock
 	Store  proxy.Store
 	Random *rand.Rand
-	// Send delivers a message to another host.
-	Send func(ctx context.Context, to proxy.HostID, message proxy.Message) error
-	// Own carries out the effects of a module's own package and reports
-	// whether it knew the effect.
-	Own func(ctx context.Context, effect proxy.Effect) []proxy.Effect
+	// Send delivers messages to another host.
+	Send func(ctx context.Context, to proxy.HostID, messages []proxy.Message) error
+	// Own carries out the effects of a module's own package.
+	Own func(ctx context.Context, effect proxy.Effect)
 	Log zerolog.Logger
 
 	modules []tended
@@ -51,6 +51,13 @@
 	effect proxy.Effect
 }
 
+// batch is the effect that replaces the messages which one event caused to one
+// host.
+type batch struct {
+	to       proxy.HostID
+	messages []proxy.Message
+}
+
 // Add registers a module that gets a tick at each interval. It is called before
 // Run.
 func (d *Driver) Add(module proxy.Module, interval time.Duration) {
@@ -81,7 +88,7 @@
 }
 
 func (d *Driver) handle(module proxy.Module, event proxy.Event) {
-	for _, effect := range module.Handle(d.Clock.Now(), event) {
+	for _, effect := range gather(module.Handle(d.Clock.Now(), event)) {
 		select {
 		case d.tasks <- task{module: module, effect: effect}:
 		default:
@@ -90,6 +97,28 @@
 	}
 }
 
+// gather puts all messages to one host into one batch.
+func gather(effects []proxy.Effect) []proxy.Effect {
+	gathered := effects[:0:0]
+	batches := make(map[proxy.HostID]int)
+	for _, effect := range effects {
+		send, ok := effect.(proxy.Send)
+		if !ok {
+			gathered = append(gathered, effect)
+			continue
+		}
+		at, found := batches[send.To]
+		if !found {
+			at = len(gathered)
+			batches[send.To] = at
+			gathered = append(gathered, &batch{to: send.To})
+		}
+		b := gathered[at].(*batch)
+		b.messages = append(b.messages, send.Message)
+	}
+	return gathered
+}
+
 func (d *Driver) tick(ctx context.Context, t tended) {
 	defer d.running.Done()
 	ticker := time.NewTicker(t.interval)
@@ -137,14 +166,19 @@
 		d.handle(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
 	case proxy.Watch:
 		d.watch(ctx, t.module, e)
-	case proxy.Send:
-		if err := d.Send(ctx, e.To, e.Message); err != nil {
-			d.Log.Debug().Err(err).Str("peer", string(e.To)).Msg("control message not delivered")
-		}
+	case *batch:
+		d.send(ctx, e)
 	default:
-		for _, effect := range d.Own(ctx, e) {
-			d.carry(ctx, task{module: t.module, effect: effect})
-		}
+		d.Own(ctx, e)
+	}
+}
+
+// send delivers a batch. A peer that does not answer must not hold a worker.
+func (d *Driver) send(ctx context.Context, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if err := d.Send(ctx, b.to, b.messages); err != nil {
+		d.Log.Debug().Err(err).Str("peer", string(b.to)).Msg("control messages not delivered")
 	}
 }
 
--- a/internal/daemon/first.go
+++ b/internal/daemon/first.go
@@ -50,8 +50,25 @@
 	if err != nil {
 		return fmt.Errorf("codec: %w", err)
 	}
-	h.peers = &inner.Client{Codec: codec, Clock: h.clock, Nonce: uint64(h.self.Incarnation), Logger: h.log}
-	h.server = &inner.Server{Lender: h.pool, Codec: codec, Logger: h.log, Metrics: h.registry}
+	registry, err := newRegistry()
+	if err != nil {
+		return err
+	}
+	fleet := h.settings.Fleet
+	certificates := &inner.Certificates{
+		Certificate: fleet.Certificate, Key: fleet.Key, Authority: fleet.Authority, Clock: h.clock, Logger: h.log,
+	}
+	if err := certificates.Load(); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	h.peers = &inner.Client{
+		Codec: codec, Clock: h.clock, Nonce: uint64(h.self.Incarnation), TLS: certificates.Client(),
+		Registry: registry, Logger: h.log,
+	}
+	h.server = &inner.Server{
+		Lender: h.pool, Codec: codec, TLS: certificates.Server(), Registry: registry, Deliver: h.receive,
+		Logger: h.log, Metrics: h.registry,
+	}
 	return nil
 }
 
--- a/pkg/proxy/member/table.go
+++ b/pkg/proxy/member/table.go
@@ -153,6 +153,17 @@
 	return t.live()
 }
 
+// Find returns what is known of another host, live or not.
+func (t *Table) Find(id proxy.HostID) (proxy.HostState, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	if !ok {
+		return proxy.HostState{}, false
+	}
+	return e.state, true
+}
+
 func (t *Table) live() ([]proxy.HostState, int) {
 	var hosts []proxy.HostState
 	known := 0
