--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -30,6 +30,9 @@
 	default:
 		return nil, proxy.Refuse(proxy.CannotConnectNow, "the pool has not started")
 	}
+	if p.Share(ask.Group) <= 0 {
+		return nil, proxy.Refuse(proxy.CannotConnectNow, "this host does not pool group %s", ask.Group)
+	}
 	patience := ask.Patience
 	if patience <= 0 {
 		patience = defaultPatience
--- /dev/null
+++ b/pkg/proxy/placement/placement_test.go
@@ -0,0 +1,160 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
+)
+
+const (
+	fleet  = 520
+	groups = 1200
+)
+
+var zones = []proxy.Zone{"a1", "a2", "a3", "b1", "b2", "b3"}
+
+func hosts(count int) []proxy.HostState {
+	all := make([]proxy.HostState, count)
+	for n := range all {
+		all[n] = proxy.HostState{ID: proxy.HostID(fmt.Sprintf("host-%d", n)), Zone: zones[n%len(zones)]}
+	}
+	return all
+}
+
+// group returns a group with one instance in each zone of a region.
+func group(n int) *proxy.Group {
+	g := &proxy.Group{ID: proxy.GroupID(fmt.Sprintf("group-%d", n))}
+	for _, zone := range zones[n%2*3 : n%2*3+3] {
+		g.Instances = append(g.Instances, proxy.Instance{ID: proxy.InstanceID(zone), Zone: zone})
+	}
+	return g
+}
+
+func ids(pools []proxy.HostState) []proxy.HostID {
+	var list []proxy.HostID
+	for n := range pools {
+		list = append(list, pools[n].ID)
+	}
+	return list
+}
+
+// Guards against a host that leaves and moves groups that it did not pool, and
+// against a placement in which one host's loss moves many groups.
+func TestOneHostLeaves(t *testing.T) {
+	is := is.New(t)
+	all := hosts(fleet)
+	gone := all[17]
+	rest := slices.Delete(slices.Clone(all), 17, 18)
+	moved := 0
+	for n := range groups {
+		before, after := ids(placement.Pools(group(n), all)), ids(placement.Pools(group(n), rest))
+		if slices.Equal(before, after) {
+			continue
+		}
+		moved++
+		is.True(slices.Contains(before, gone.ID)) // only groups of the host move
+		kept := 0
+		for _, id := range before {
+			if slices.Contains(after, id) {
+				kept++
+			}
+		}
+		is.Equal(kept, placement.Width-1) // the other pool hosts stay
+	}
+	mean := groups * placement.Width / fleet
+	t.Logf("%d of %d groups moved, %d pools a host on average", moved, groups, mean)
+	is.True(moved <= 3*mean)
+}
+
+// Guards against hosts that pool far more groups than others.
+func TestBalance(t *testing.T) {
+	is := is.New(t)
+	counts := map[proxy.HostID]int{}
+	all := hosts(fleet)
+	for n := range groups {
+		pools := placement.Pools(group(n), all)
+		is.Equal(len(pools), placement.Width)
+		for _, id := range ids(pools) {
+			counts[id]++
+		}
+	}
+	most := 0
+	for _, count := range counts {
+		most = max(most, count)
+	}
+	mean := groups * placement.Width / fleet
+	t.Logf("at most %d pools on a host, %d on average, %d hosts without", most, mean, fleet-len(counts))
+	is.True(most <= 3*mean)
+	is.True(len(counts) > fleet*99/100)
+}
+
+// Guards against pools outside the instances' zones without need, more than two
+// in a zone, and an order that is not that of the front's zone.
+func TestZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := hosts(rapid.IntRange(0, 40).Draw(t, "hosts"))
+		for n := range all {
+			all[n].Leaving = rapid.Bool().Draw(t, "leaving")
+		}
+		g := group(rapid.IntRange(0, groups).Draw(t, "group"))
+		live, near := 0, map[proxy.Zone]int{}
+		for n := range all {
+			if all[n].Leaving {
+				continue
+			}
+			live++
+			if slices.ContainsFunc(g.Instances, func(i proxy.Instance) bool { return i.Zone == all[n].Zone }) {
+				near[all[n].Zone]++
+			}
+		}
+		pools := placement.Pools(g, all)
+		if len(pools) != min(live, placement.Width) {
+			t.Fatalf("%d pools of %d live hosts", len(pools), live)
+		}
+		counts, far := map[proxy.Zone]int{}, 0
+		for _, h := range pools {
+			if h.Leaving {
+				t.Fatalf("%s is leaving", h.ID)
+			}
+			counts[h.Zone]++
+			if near[h.Zone] == 0 {
+				far++
+			}
+		}
+		nearest := 0
+		for zone, n := range near {
+			nearest += min(n, placement.PerZone)
+			if counts[zone] == 0 {
+				t.Fatalf("no pool in zone %s: %v", zone, pools)
+			}
+		}
+		if far > 0 && nearest >= placement.Width {
+			t.Fatalf("%d pools outside the zones: %v", far, pools)
+		}
+		checkOrder(t, pools)
+	})
+}
+
+func checkOrder(t *rapid.T, pools []proxy.HostState) {
+	order := placement.Order(pools, "host-0", "a2")
+	last := 0
+	for n, h := range order {
+		distance := 2
+		if h.Zone == "a2" {
+			distance = 1
+		}
+		if h.ID == "host-0" {
+			distance = 0
+		}
+		if distance < last {
+			t.Fatalf("host %d of %v comes too late", n, order)
+		}
+		last = distance
+	}
+}
