--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcconn"
 
@@ -37,6 +38,8 @@
 	// Alive is the interval of the signs of life, the same on all hosts.
 	Alive  time.Duration
 	Logger zerolog.Logger
+	// Metrics may be nil.
+	Metrics metrics.Registry
 
 	mu     sync.Mutex
 	free   map[string][]*peer
@@ -76,6 +79,14 @@
 	}
 }
 
+// violation reports a broken invariant.
+func (c *Client) violation(what string) {
+	if c.Metrics != nil {
+		metrics.GetOrRegisterCounter("inner.violations", c.Metrics).Inc(1)
+	}
+	c.Logger.Error().Msg("invariant violated: " + what)
+}
+
 func (c *Client) alive() time.Duration {
 	if c.Alive <= 0 {
 		return defaultAlive
--- a/internal/inner/loan.go
+++ b/internal/inner/loan.go
@@ -154,7 +154,7 @@
 // is unknown.
 func (l *loan) Release(r proxy.Return) {
 	if !l.released.CompareAndSwap(false, true) {
-		l.client.Logger.Error().Msg("invariant violated: loan released twice")
+		l.client.violation("loan released twice")
 		return
 	}
 	_ = l.SetDeadline(time.Time{})
--- a/internal/inner/relay.go
+++ b/internal/inner/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -34,8 +35,9 @@
 	loan    Loan
 	conn    net.Conn
 	// validity is how long a confirmation holds.
-	validity time.Duration
-	pumping  sync.WaitGroup
+	validity   time.Duration
+	pumping    sync.WaitGroup
+	cancelling atomic.Bool
 
 	mu   sync.Mutex
 	cond sync.Cond
@@ -116,7 +118,9 @@
 		return r.confirm()
 	case cancelFrame:
 		// The front's further frames must not wait for the cancel request.
-		go r.cancel()
+		if r.cancelling.CompareAndSwap(false, true) {
+			go r.cancel()
+		}
 		return nil
 	default:
 		return proxy.Doubt(proxy.ProtocolViolation, "frame of kind %d within a loan", f.kind)
@@ -165,6 +169,7 @@
 const cancelTimeout = 3 * time.Second
 
 func (r *relay) cancel() {
+	defer r.cancelling.Store(false)
 	ctx, cancel := context.WithTimeout(r.channel.stream.Context(), cancelTimeout)
 	defer cancel()
 	// The front learns the effect from the statement's answer.
--- a/internal/pool/document.go
+++ b/internal/pool/document.go
@@ -5,7 +5,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/queue"
 )
 
-// reconcile adopts the document in force and the current shares.
+// reconcile adopts the document in force and the current shares. Groups of which
+// this host has no share are not monitored.
 func (p *Pool) reconcile() {
 	document, _ := p.Catalog.Current()
 	if document == nil {
@@ -14,6 +15,9 @@
 	wanted := make(map[key]bool)
 	for g := range document.Groups {
 		group := &document.Groups[g]
+		if p.Share(group.ID) <= 0 {
+			continue
+		}
 		for n := range group.Instances {
 			wanted[key{group.ID, group.Instances[n].ID}] = true
 			p.adopt(group, &group.Instances[n])
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -17,7 +17,7 @@
 	retryAfter = 100 * time.Millisecond
 	// recheck is the interval at which a waiting request looks at the leadership
 	// again. The time without a primary after a promotion contains it once.
-	recheck = 20 * time.Millisecond
+	recheck = 50 * time.Millisecond
 )
 
 // errMoved tells a waiter to choose an instance again.
@@ -48,39 +48,54 @@
 		if !eris.Is(err, errMoved) {
 			return loan, err
 		}
+		p.await(ctx, p.changes.wait())
+	}
+}
+
+// await waits for a change, but not longer than recheck.
+func (p *Pool) await(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
 // choose waits until there is an instance for the ask.
 func (p *Pool) choose(ctx context.Context, ask proxy.Ask) (*instance, proxy.Lent, error) {
 	for {
+		if p.ctx.Err() != nil {
+			return nil, proxy.Lent{}, proxy.Refuse(proxy.CannotConnectNow, "the pool is shutting down")
+		}
 		changed := p.changes.wait()
 		choice := p.choice(ask)
-		if choice.Kind == routing.Refuse {
-			return nil, proxy.Lent{}, p.busy("group %s: %s", ask.Group, choice.Reason)
+		if choice.Kind == routing.Refuse || ctx.Err() != nil {
+			return nil, proxy.Lent{}, p.busy("group %s: no connection in time: %s", ask.Group, choice.Reason)
 		}
 		if choice.Kind != routing.Wait {
-			lent := proxy.Lent{Instance: choice.Instance, Primary: choice.Kind == routing.Primary, Term: choice.Term}
 			if i := p.find(ask.Group, choice.Instance); i != nil {
-				return i, lent, nil
+				return i, proxy.Lent{Instance: choice.Instance, Primary: choice.Kind == routing.Primary, Term: choice.Term}, nil
 			}
+			p.adoptSoon()
 		}
-		timer := time.NewTimer(recheck)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, proxy.Lent{}, p.busy("group %s: %s", ask.Group, choice.Reason)
-		}
-		timer.Stop()
+		p.await(ctx, changed)
+	}
+}
+
+// adoptSoon asks Run to adopt the document before the next interval.
+func (p *Pool) adoptSoon() {
+	select {
+	case p.unknown <- struct{}{}:
+	default:
 	}
 }
 
 // choice asks the routing for an instance.
 func (p *Pool) choice(ask proxy.Ask) routing.Choice {
 	leadership, known := p.Leaders.Leader(ask.Group)
-	states, slots := p.candidates(ask.Group)
+	states, slots := p.candidates(ask.Group, leadership.Primary)
 	return routing.Choose(p.Clock.Now(), ask, routing.Table{
 		Leadership: leadership,
 		Known:      known,
@@ -178,10 +193,17 @@
 	return err
 }
 
-// unfit reports that the leadership has changed since the instance was chosen.
+// unfit reports that the leadership has changed since the instance was chosen or
+// that a chosen replica does not answer any more.
 func (p *Pool) unfit(i *instance, lent proxy.Lent) bool {
 	leadership, known := p.Leaders.Leader(i.group)
-	return !known || leadership.Term != lent.Term || lent.Primary && leadership.Primary != i.id
+	if !known || leadership.Term != lent.Term {
+		return true
+	}
+	if lent.Primary {
+		return leadership.Primary != i.id
+	}
+	return i.unreachable() || p.Clock.Now().Sub(p.states.get(i.group, i.id).Seen) > p.Horizon
 }
 
 // busy returns the refusal of a request that may be tried again.
--- a/internal/pool/monitor.go
+++ b/internal/pool/monitor.go
@@ -96,12 +96,15 @@
 	ctx, cancel := context.WithTimeout(p.ctx, p.DialTimeout)
 	defer cancel()
 	c, err := p.connect(ctx, i)
-	if err == nil {
-		return c
+	if err != nil {
+		p.failed(i, err)
+		p.unwatch(i, &connection{})
+		return nil
 	}
-	p.failed(i, err)
-	p.unwatch(i, &connection{})
-	return nil
+	i.mu.Lock()
+	i.failures = 0
+	i.mu.Unlock()
+	return c
 }
 
 // unwatch closes the monitor's own connection.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -24,6 +24,11 @@
 	defaultBypass       = 20
 )
 
+// reconcileInterval is the interval at which the document and the shares are
+// adopted. Routing reads the document itself, so that an instance that is
+// leaving gets no request in the meantime.
+const reconcileInterval = 250 * time.Millisecond
+
 // Pool lends this host's connections to instances. The exported fields are set
 // before Run. It implements proxy.Lender.
 type Pool struct {
@@ -66,6 +71,9 @@
 	// ctx ends with Run; dials and monitors depend on it.
 	ctx     context.Context
 	started chan struct{}
+	// unknown asks to adopt the document before the next interval, because a
+	// request needs an instance that the pool does not have yet.
+	unknown chan struct{}
 	once    sync.Once
 	tasks   sync.WaitGroup
 	changes changes
@@ -87,14 +95,17 @@
 func (p *Pool) Run(ctx context.Context) {
 	p.setDefaults()
 	p.ctx = ctx
+	p.unknown = make(chan struct{}, 1)
 	p.reconcile()
 	close(p.ready())
-	ticker := time.NewTicker(p.Poll)
+	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			p.reconcile()
+		case <-p.unknown:
+			p.reconcile()
 		case <-ctx.Done():
 			p.stop()
 			return
