Store system settings, advisory locks and libpq sources in the emulated instance

A replica may be told to follow a connection string of libpq, and the database listener serves replication as PostgreSQL's does, so that orders to instances are plain PostgreSQL statements.

--- a/cmd/emulated-instance/main.go
+++ b/cmd/emulated-instance/main.go
@@ -22,6 +22,7 @@
 	Control     string        `long:"control" default:"127.0.0.1:0" description:"host:port for control requests"`
 	Source      string        `long:"source" description:"Control address of the primary to follow"`
 	Replica     bool          `long:"replica" description:"Start as a replica even without a source"`
+	Rebuild     bool          `long:"rebuild" description:"Rewind when told to follow a primary whose log does not continue this one"`
 	User        string        `long:"user" description:"Only user; any user if empty"`
 	Password    string        `long:"password" env:"EMULATED_INSTANCE_PASSWORD" description:"Password for SCRAM-SHA-256; none is asked if empty"`
 	Certificate string        `long:"certificate" description:"PEM file with the TLS certificate"`
@@ -58,7 +59,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	settings := instance.Options{
-		Name: o.Name, Address: o.Address, Control: o.Control, Source: o.Source, Replica: o.Replica,
+		Name: o.Name, Address: o.Address, Control: o.Control, Source: o.Source, Replica: o.Replica, Rebuild: o.Rebuild,
 		User: o.User, Password: o.Password, Log: log,
 		Faults: instance.Faults{
 			Lag: o.Lag, Delay: o.Delay, Cost: o.Cost, Slots: o.Slots, Connections: o.Connections,
--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -62,6 +62,7 @@
 // serve runs the connection until it ends. The transaction that is open then
 // is rolled back.
 func (c *connection) serve() error {
+	defer c.session.engine.AdvisoryUnlockAll(c.session)
 	defer c.session.rollback()
 	for {
 		msg, err := c.backend.Receive()
--- a/internal/emulator/instance/engine.go
+++ b/internal/emulator/instance/engine.go
@@ -32,6 +32,10 @@
 	link     uint64
 	diverged bool
 	changed  chan struct{}
+	// system holds the settings of ALTER SYSTEM other than the source.
+	system map[string]string
+	// advisory holds the sessions that hold advisory locks.
+	advisory map[int64]*session
 }
 
 // NewEngine returns the engine of an empty instance: a primary, or a replica
@@ -44,6 +48,9 @@
 		highest: 1,
 		locks:   make(map[string]*rowLock),
 		changed: make(chan struct{}),
+
+		system:   make(map[string]string),
+		advisory: make(map[int64]*session),
 	}
 }
 
--- a/internal/emulator/instance/execution.go
+++ b/internal/emulator/instance/execution.go
@@ -82,13 +82,13 @@
 			return nil, errorf(stateActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
 		}
 		s.resetAll()
+		s.engine.AdvisoryUnlockAll(s)
 		return tagged("DISCARD ALL"), s.deallocate("")
 	case alterSystemStatement:
 		if s.block != blockIdle {
 			return nil, errorf(stateActiveTransaction, "ALTER SYSTEM cannot run inside a transaction block")
 		}
-		s.engine.Follow(stmt.source, false)
-		return tagged("ALTER SYSTEM"), nil
+		return tagged("ALTER SYSTEM"), s.alterSystem(stmt)
 	}
 	return nil, errorf(proxy.InternalInconsistency, "statement %T", stmt)
 }
--- a/internal/emulator/instance/follow.go
+++ b/internal/emulator/instance/follow.go
@@ -21,6 +21,13 @@
 	defer client.CloseIdleConnections()
 	for i.ctx.Err() == nil {
 		changed := i.engine.Changed()
+		if source, due := i.engine.NeedsRewind(); due && i.options.Rebuild {
+			if err := i.Rewind(i.ctx, source); err != nil {
+				i.options.Log.Debug().Err(err).Str("source", source).Msg("rewind failed")
+				_ = sleepFor(i.ctx, retryTime)
+			}
+			continue
+		}
 		link, after, ok := i.engine.Link()
 		if !ok {
 			select {
@@ -84,7 +91,11 @@
 
 // get performs a GET request on a control listener and returns its status.
 func get(ctx context.Context, client *http.Client, address, path string, body any) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	host, err := sourceHost(address)
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+path, nil)
 	if err != nil {
 		return 0, fmt.Errorf("control request: %w", err)
 	}
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -32,6 +32,9 @@
 	// instance without one starts as a primary unless Replica is set.
 	Source  string
 	Replica bool
+	// Rebuild makes the instance rewind itself where it is told to follow a
+	// primary whose log does not continue its own, as an operator's tool would.
+	Rebuild bool
 	// User is the only user; any user is accepted if it is empty. Connections
 	// are trusted if Password is empty.
 	User     string
@@ -54,6 +57,7 @@
 	listener net.Listener
 	control  net.Listener
 	server   *http.Server
+	replicas replicaListener
 	started  time.Time
 	ctx      context.Context // ends with the instance
 	stop     context.CancelFunc
@@ -108,6 +112,7 @@
 		return fmt.Errorf("listen for control: %w", err)
 	}
 	i.listener, i.control = listener, control
+	i.replicas = newReplicaListener(listener.Addr())
 	return nil
 }
 
@@ -134,6 +139,7 @@
 	detach := context.AfterFunc(ctx, i.close)
 	defer detach()
 	i.start(i.serveControl)
+	i.start(i.serveReplicas)
 	i.start(i.follow)
 	i.start(i.replay)
 	for {
@@ -173,6 +179,7 @@
 	_ = i.listener.Close()
 	_ = i.server.Close()
 	_ = i.control.Close()
+	_ = i.replicas.Close()
 	i.terminateAll()
 	i.wait.Wait()
 }
@@ -182,6 +189,13 @@
 
 // serve runs one client connection.
 func (i *Instance) serve(conn net.Conn) {
+	// A client that sends nothing must not keep the instance from closing.
+	stop := context.AfterFunc(i.ctx, func() { _ = conn.Close() })
+	defer stop()
+	conn, isReplica := i.replicas.sort(conn)
+	if isReplica {
+		return
+	}
 	defer func() { _ = conn.Close() }()
 	if i.Faults().Refuse {
 		reset(conn)
@@ -200,6 +214,9 @@
 
 // reset makes the close of conn a TCP reset.
 func reset(conn net.Conn) {
+	if peeked, ok := conn.(*peekedConn); ok {
+		conn = peeked.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/emulator/instance/parser.go
+++ b/internal/emulator/instance/parser.go
@@ -312,18 +312,22 @@
 }
 
 func (p *parser) alterSystem() statement {
-	if p.words("reset primary_conninfo") {
-		return alterSystemStatement{}
+	reset := p.words("reset")
+	if !reset {
+		p.wantWords("set")
 	}
-	p.wantWords("set")
-	if !p.words("primary_conninfo") {
-		panic(errorf(stateCannotChange, "only primary_conninfo can be changed by ALTER SYSTEM in the emulator"))
+	name := p.setting()
+	if name != conninfoSetting && !strings.Contains(name, ".") {
+		panic(errorf(stateCannotChange, "ALTER SYSTEM cannot change %q in the emulator", name))
+	}
+	if reset {
+		return alterSystemStatement{name: name}
 	}
 	if !p.symbol("=") {
 		p.wantWords("to")
 	}
 	if p.words("default") {
-		return alterSystemStatement{}
+		return alterSystemStatement{name: name}
 	}
-	return alterSystemStatement{source: p.settingValue()}
+	return alterSystemStatement{name: name, value: p.settingValue()}
 }
--- /dev/null
+++ b/internal/emulator/instance/replicas.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+)
+
+// replicaListener hands the connections of replicas, which arrive at the
+// database listener as PostgreSQL's do, to the replication handler.
+type replicaListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+}
+
+func newReplicaListener(address net.Addr) replicaListener {
+	return replicaListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l replicaListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l replicaListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l replicaListener) Addr() net.Addr { return l.address }
+
+// sort tells replicas from clients by the first byte: an HTTP request starts
+// with a letter, a startup message with the high byte of its length, which is
+// zero.
+func (l replicaListener) sort(conn net.Conn) (net.Conn, bool) {
+	reader := bufio.NewReader(conn)
+	first, err := reader.Peek(1)
+	sorted := &peekedConn{Conn: conn, reader: reader}
+	if err != nil || first[0] != 'G' {
+		return sorted, false
+	}
+	select {
+	case l.conns <- sorted:
+	case <-l.closed:
+		_ = conn.Close()
+	}
+	return sorted, true
+}
+
+// peekedConn is a connection whose first bytes have been read ahead.
+type peekedConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *peekedConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
+
+// serveReplicas serves replication requests that arrive at the database
+// listener until the instance is closed.
+func (i *Instance) serveReplicas() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /segments", i.getSegments)
+	mux.HandleFunc("GET /log", i.getLog)
+	server := &http.Server{Handler: mux, BaseContext: i.server.BaseContext}
+	go func() {
+		<-i.ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(i.replicas); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		i.options.Log.Error().Err(err).Msg("replication listener failed")
+	}
+}
--- a/internal/emulator/instance/replication.go
+++ b/internal/emulator/instance/replication.go
@@ -158,8 +158,7 @@
 	e.highest++
 	e.primary = true
 	e.epoch++
-	e.link++
-	e.diverged = false
+	e.relink("")
 	e.append(nil)
 	return nil
 }
--- a/internal/emulator/instance/settings.go
+++ b/internal/emulator/instance/settings.go
@@ -205,7 +205,7 @@
 		return onOff(!s.engine.State().Primary), true
 	case "transaction_read_only":
 		return onOff(s.readOnly || !s.engine.State().Primary), true
-	case "primary_conninfo":
+	case conninfoSetting:
 		return s.engine.State().Source, true
 	case "max_connections":
 		return s.limit(), true
@@ -215,6 +215,9 @@
 	}
 	text := s.value(name)
 	_, known := s.settings.session[name]
+	if system, ok := s.engine.System(name); ok && !known {
+		return system, true
+	}
 	return text, known || text != ""
 }
 
--- a/internal/emulator/instance/statement.go
+++ b/internal/emulator/instance/statement.go
@@ -49,7 +49,7 @@
 	showStatement           struct{ name string }
 	discardStatement        struct{}
 	deallocateStatement     struct{ name string } // empty for ALL
-	alterSystemStatement    struct{ source string }
+	alterSystemStatement    struct{ name, value string }
 	copyStatement           struct {
 		columns []string
 		query   *selectStatement // for COPY ... TO
--- /dev/null
+++ b/internal/emulator/instance/system.go
@@ -0,0 +1,132 @@
+package instance
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// conninfoSetting names the connection string of the primary that a replica
+// follows.
+const conninfoSetting = "primary_conninfo"
+
+// alterSystem changes a setting of the instance. It takes effect at once.
+func (s *session) alterSystem(stmt alterSystemStatement) error {
+	if stmt.name == conninfoSetting {
+		if _, err := sourceHost(stmt.value); stmt.value != "" && err != nil {
+			return errorf(proxy.InvalidParameterValue, "%v", err)
+		}
+		s.engine.Follow(stmt.value, false)
+		return nil
+	}
+	s.engine.SetSystem(stmt.name, stmt.value)
+	return nil
+}
+
+// sourceHost returns the host:port of a source, which is either that itself or
+// a connection string of libpq.
+func sourceHost(source string) (string, error) {
+	if !strings.Contains(source, "=") {
+		return source, nil
+	}
+	config, err := pgconn.ParseConfig(source)
+	if err != nil {
+		return "", fmt.Errorf("connection string of the primary: %w", err)
+	}
+	return net.JoinHostPort(config.Host, strconv.Itoa(int(config.Port))), nil
+}
+
+// SetSystem stores a setting of ALTER SYSTEM; an empty value removes it.
+func (e *Engine) SetSystem(name, value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if value == "" {
+		delete(e.system, name)
+		return
+	}
+	e.system[name] = value
+}
+
+// System returns a setting of ALTER SYSTEM.
+func (e *Engine) System(name string) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	value, ok := e.system[name]
+	return value, ok
+}
+
+// NeedsRewind returns the source that the instance was told to follow although
+// its own log ends elsewhere.
+func (e *Engine) NeedsRewind() (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.source, e.source != "" && !e.cut && (e.primary || e.diverged)
+}
+
+// advisoryLock takes a session-level advisory lock.
+func advisoryLock(s *session, arguments []value) (value, error) {
+	key, err := arguments[0].integer()
+	if err != nil {
+		return value{}, err
+	}
+	for {
+		changed, taken := s.engine.AdvisoryLock(s, key)
+		if taken {
+			return value{oid: oidVoid}, nil
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+			return value{}, s.ctx.Err()
+		}
+	}
+}
+
+func advisoryUnlock(s *session, arguments []value) (value, error) {
+	key, err := arguments[0].integer()
+	if err != nil {
+		return value{}, err
+	}
+	return boolValue(s.engine.AdvisoryUnlock(s, key)), nil
+}
+
+// AdvisoryLock takes the lock for a session or returns a channel that is closed
+// at the next change.
+func (e *Engine) AdvisoryLock(owner *session, key int64) (<-chan struct{}, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if holder, held := e.advisory[key]; held && holder != owner {
+		return e.changed, false
+	}
+	e.advisory[key] = owner
+	return nil, true
+}
+
+// AdvisoryUnlock gives the lock back and reports whether the session held it.
+func (e *Engine) AdvisoryUnlock(owner *session, key int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.advisory[key] != owner {
+		return false
+	}
+	delete(e.advisory, key)
+	e.notify()
+	return true
+}
+
+// AdvisoryUnlockAll gives all locks of a session back.
+func (e *Engine) AdvisoryUnlockAll(owner *session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, holder := range e.advisory {
+		if holder == owner {
+			delete(e.advisory, key)
+			e.notify()
+		}
+	}
+}
