--- /dev/null
+++ b/internal/pool/read_test.go
@@ -0,0 +1,128 @@
+package pool_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/instance"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Guards against a read that is older than its age, and against reads with a
+// wide age that stay on the primary.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 3, 2)
+	eventually(func() bool { return g.state("one").Term == 7 && g.state("two").Current == 1 })
+	is.NoErr(g.two.SetFaults(instance.Faults{Lag: time.Hour}))
+	write, err := g.pool.Lend(t.Context(), ask(1))
+	is.NoErr(err)
+	run(t, write, "INSERT INTO kv VALUES ('stop', 'empty')")
+	write.Release(proxy.Return{Wrote: true})
+	g.clock.move(10 * time.Second)
+	eventually(func() bool { return g.state("one").Seen > 1 && g.state("two").Seen > 1 })
+	is.Equal(g.state("two").Current, proxy.Instant(1)) // before the write
+	for _, c := range []struct {
+		age  time.Duration
+		want proxy.InstanceID
+	}{{9 * time.Second, "one"}, {11 * time.Second, "two"}} {
+		a := reading(proxy.Bookmark{})
+		a.Age = c.age
+		loan, err := g.pool.Lend(t.Context(), a)
+		is.NoErr(err)
+		is.Equal(loan.Lent().Instance, c.want)
+		loan.Release(proxy.Return{})
+	}
+}
+
+// Guards against reads that wait for a replica that is down.
+func TestDeadReplica(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 3, 2)
+	eventually(func() bool { return g.state("two").Term == 7 })
+	is.NoErr(g.two.SetFaults(instance.Faults{Refuse: true}))
+	g.two.SilenceAll()
+	eventually(func() bool { return g.counter("pool.dial.failed") > 0 })
+	loan, err := g.pool.Lend(t.Context(), reading(proxy.Bookmark{}))
+	is.NoErr(err)
+	is.Equal(loan.Lent().Instance, proxy.InstanceID("one"))
+	loan.Release(proxy.Return{})
+}
+
+// raw is what the protocol between hosts uses of a loan.
+type raw interface{ Raw() net.Conn }
+
+// Guards against a protocol state that depends on how the bytes are split: the
+// connection is quiet exactly when all answers have been read.
+func TestProtocolState(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, 2, 1)
+	loan, err := g.pool.Lend(t.Context(), ask(1))
+	is.NoErr(err)
+	conn := loan.(raw).Raw()
+	quiet := func() bool { return conn.(interface{ Quiet() bool }).Quiet() }
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 50 {
+		request, answers := request(random)
+		for len(request) > 0 {
+			n := 1 + random.IntN(len(request))
+			_, err = conn.Write(request[:n])
+			is.NoErr(err)
+			request = request[n:]
+			is.True(!quiet())
+		}
+		for answers > 0 {
+			is.True(!quiet())
+			answers -= readSome(t, conn, random)
+		}
+		is.True(quiet())
+	}
+	loan.Release(proxy.Return{})
+	is.Equal(g.counter("pool.discarded"), int64(0))
+}
+
+// request returns the bytes of a simple or an extended request and the number of
+// ReadyForQuery messages that answer it.
+func request(random *rand.Rand) (bytes []byte, answers int) {
+	messages := []pgproto3.FrontendMessage{&pgproto3.Query{String: "SELECT 1"}}
+	if random.IntN(2) == 0 {
+		messages = []pgproto3.FrontendMessage{
+			&pgproto3.Parse{Query: "SELECT 1"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		}
+	}
+	answers = 1 + random.IntN(2)
+	for range answers {
+		for _, m := range messages {
+			bytes, _ = m.Encode(bytes)
+		}
+	}
+	return bytes, answers
+}
+
+// readSome reads one message in small pieces and returns 1 for ReadyForQuery.
+func readSome(t *testing.T, conn io.Reader, random *rand.Rand) int {
+	t.Helper()
+	read := func(length int) []byte {
+		all := make([]byte, length)
+		for done := 0; done < length; {
+			n, err := conn.Read(all[done:min(length, done+1+random.IntN(3))])
+			if err != nil {
+				t.Fatal(err)
+			}
+			done += n
+		}
+		return all
+	}
+	header := read(5)
+	read(int(header[1])<<24 | int(header[2])<<16 | int(header[3])<<8 | int(header[4]) - 4)
+	if header[0] == 'Z' {
+		return 1
+	}
+	return 0
+}
