--- /dev/null
+++ b/pkg/proxy/promotion/machine.go
@@ -0,0 +1,164 @@
+package promotion
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Settings are the fixed properties of a host's machine.
+type Settings struct {
+	Host        proxy.HostID
+	Incarnation proxy.Incarnation
+	Environment proxy.EnvironmentID
+	Stage       proxy.Stage
+	Timing      Timing
+}
+
+// Machine is the promotion state machine of one host for all groups of an
+// environment. It implements proxy.Module and proxy.Leaders and is safe for
+// concurrent use.
+type Machine struct {
+	settings Settings
+
+	mu       sync.Mutex
+	groups   map[proxy.GroupID]*group
+	revision proxy.Revision
+	watching bool
+	writes   uint64
+}
+
+var (
+	_ proxy.Module  = (*Machine)(nil)
+	_ proxy.Leaders = (*Machine)(nil)
+)
+
+// New returns a machine that knows no group.
+func New(settings Settings) (*Machine, error) {
+	if err := settings.Timing.Validate(); err != nil {
+		return nil, err
+	}
+	if err := settings.Stage.Validate(); err != nil {
+		return nil, fmt.Errorf("promotion settings: %w", err)
+	}
+	return &Machine{settings: settings, groups: make(map[proxy.GroupID]*group)}, nil
+}
+
+// Handle takes one event.
+func (m *Machine) Handle(now proxy.Instant, event proxy.Event) []proxy.Effect {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &step{machine: m, now: now, timing: &m.settings.Timing}
+	switch e := event.(type) {
+	case proxy.Tick:
+		m.tick(s)
+	case Configured:
+		m.configure(s, e)
+	case Placed:
+		if g := m.groups[e.Group]; g != nil {
+			g.place(s, e.Hosts)
+		}
+	case Writing:
+		if g := m.groups[e.Group]; g != nil {
+			g.writing = e.Count
+			g.advance(s)
+		}
+	case Observed:
+		if g := m.groups[e.Group]; g != nil {
+			g.observe(s, e)
+			g.advance(s)
+		}
+	case proxy.Fetched:
+		m.fetched(s, e)
+	case proxy.Written:
+		m.written(s, e)
+	case proxy.Received:
+		m.received(s, e)
+	}
+	return s.effects
+}
+
+// step carries one call of Handle through the functions that it calls.
+type step struct {
+	machine *Machine
+	now     proxy.Instant
+	timing  *Timing
+	effects []proxy.Effect
+}
+
+func (s *step) emit(e proxy.Effect) { s.effects = append(s.effects, e) }
+
+func (m *Machine) tick(s *step) {
+	for _, g := range m.groups {
+		g.advance(s)
+	}
+}
+
+// configure adds the groups of a document and removes those that it lacks. An
+// older document than the present one is ignored.
+func (m *Machine) configure(s *step, e Configured) {
+	if e.Document == nil || e.Revision < m.revision {
+		return
+	}
+	m.revision = e.Revision
+	if !m.watching {
+		m.watching = true
+		s.emit(proxy.Watch{Prefix: Prefix(m.settings.Environment, m.settings.Stage)})
+	}
+	present := make(map[proxy.GroupID]bool, len(e.Document.Groups))
+	for i := range e.Document.Groups {
+		declared := &e.Document.Groups[i]
+		present[declared.ID] = true
+		g := m.groups[declared.ID]
+		if g == nil {
+			g = newGroup(declared.ID, Key(m.settings.Environment, m.settings.Stage, declared.ID))
+			m.groups[declared.ID] = g
+		}
+		g.declared = declared
+		g.advance(s)
+	}
+	for id := range m.groups {
+		if !present[id] {
+			delete(m.groups, id)
+		}
+	}
+}
+
+// find returns the group that is stored under key.
+func (m *Machine) find(key proxy.Key) *group {
+	prefix := Prefix(m.settings.Environment, m.settings.Stage)
+	if len(key) <= len(prefix) || key[:len(prefix)] != prefix {
+		return nil
+	}
+	return m.groups[proxy.GroupID(key[len(prefix):])]
+}
+
+// author returns the identity of a new write.
+func (m *Machine) author() Author {
+	m.writes++
+	return Author{Host: m.settings.Host, Incarnation: m.settings.Incarnation, Write: m.writes}
+}
+
+func (m *Machine) received(s *step, e proxy.Received) {
+	switch msg := e.Message.(type) {
+	case *View:
+		if g := m.groups[msg.Group]; g != nil {
+			g.viewed(s, e.From, msg)
+		}
+	case *Drain:
+		if g := m.groups[msg.Group]; g != nil {
+			g.drain(s, e.From, msg)
+		}
+	case *Drained:
+		if g := m.groups[msg.Group]; g != nil {
+			g.drained(s, e.From, msg)
+		}
+	}
+}
+
+// rank returns the host's place among the pool hosts, or -1.
+func (m *Machine) rank(hosts []proxy.HostID) int {
+	return slices.Index(hosts, m.settings.Host)
+}
