--- /dev/null
+++ b/pkg/proxy/promotion/world_test.go
@@ -0,0 +1,214 @@
+package promotion_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// world simulates hosts, instances and a platform under virtual time. All its
+// choices come from one seeded generator.
+type world struct {
+	now       time.Duration
+	end       time.Duration
+	queue     events
+	sequence  uint64
+	rng       *rand.Rand
+	blocked   map[link]int
+	store     *store
+	hosts     []*host
+	instances []*instance
+	document  *proxy.Document
+	revision  proxy.Revision
+
+	written    uint64
+	acked      []ack
+	promotions []promoted
+	violations []string
+	stats      stats
+	// slowOrder is the probability that an order to an instance is delivered
+	// up to three seconds late.
+	slowOrder float64
+	// staleCheck makes hosts pass Acknowledge the instant of the database's
+	// answer instead of the present one.
+	staleCheck bool
+}
+
+// stats counts what happened, to show that a run exercised what it tests.
+type stats struct {
+	writes, acks, refused, doubts, promotions, rewinds int
+}
+
+// link is one direction between two parties.
+type link struct{ from, to string }
+
+// ack is an acknowledged write.
+type ack struct {
+	id   uint64
+	term proxy.Term
+	at   time.Duration
+}
+
+// promoted is the start of an era: from then on its primary accepts writes.
+type promoted struct {
+	term     proxy.Term
+	instance proxy.InstanceID
+	at       time.Duration
+}
+
+const simulated = proxy.GroupID("orders")
+
+// newWorld returns a running world with the given numbers of hosts and instances.
+func newWorld(seed uint64, hosts, instances int, end time.Duration) *world {
+	w := &world{
+		end:       end,
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		blocked:   make(map[link]int),
+		revision:  1,
+		slowOrder: 0.02,
+	}
+	w.store = &store{w: w}
+	g := proxy.Group{ID: simulated}
+	for n := range instances {
+		id := proxy.InstanceID(fmt.Sprintf("i%d", n))
+		g.Instances = append(g.Instances, proxy.Instance{ID: id, Primary: n == 0})
+		w.instances = append(w.instances, newInstance(w, id, n > 0))
+	}
+	w.document = &proxy.Document{Groups: []proxy.Group{g}}
+	for n := range hosts {
+		w.hosts = append(w.hosts, newHost(w, n))
+	}
+	for _, h := range w.hosts {
+		h.start()
+	}
+	return w
+}
+
+// run advances virtual time to until.
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+		if len(w.violations) > 0 {
+			return
+		}
+	}
+	w.now = until
+}
+
+// after schedules do.
+func (w *world) after(d time.Duration, do func()) {
+	w.sequence++
+	heap.Push(&w.queue, event{at: w.now + d, sequence: w.sequence, do: do})
+}
+
+// between returns a random duration.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+// send delivers a message after the usual delay if the link works on both ends
+// of the delay.
+func (w *world) send(from, to string, do func()) {
+	w.sendAfter(from, to, w.between(300*time.Microsecond, 6*time.Millisecond), do)
+}
+
+func (w *world) sendAfter(from, to string, d time.Duration, do func()) {
+	l := link{from, to}
+	if w.blocked[l] > 0 {
+		return
+	}
+	w.after(d, func() {
+		if w.blocked[l] == 0 {
+			do()
+		}
+	})
+}
+
+// block stops both directions between two parties, or only the first.
+func (w *world) block(a, b string, both bool, d time.Duration) {
+	links := []link{{a, b}}
+	if both {
+		links = append(links, link{b, a})
+	}
+	for _, l := range links {
+		w.blocked[l]++
+	}
+	w.after(d, func() {
+		for _, l := range links {
+			w.blocked[l]--
+		}
+	})
+}
+
+func (w *world) instance(id proxy.InstanceID) *instance {
+	for _, i := range w.instances {
+		if i.id == id {
+			return i
+		}
+	}
+	return nil
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.violations = append(w.violations, fmt.Sprintf("at %v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+// acknowledged checks G2 and G14 for an acknowledgement that leaves now.
+func (w *world) acknowledged(h *host, on proxy.InstanceID, id uint64, term proxy.Term) {
+	w.stats.acks++
+	w.acked = append(w.acked, ack{id: id, term: term, at: w.now})
+	for _, p := range w.promotions {
+		if p.term > term && p.instance != on {
+			w.violate("G2: %s acknowledged write %d of %s in term %d; %s leads term %d since %v",
+				h.id, id, on, term, p.instance, p.term, p.at)
+		}
+		if p.term > term && !w.instance(p.instance).contains(id) {
+			w.violate("G14: %s of term %d lacks write %d acknowledged in term %d", p.instance, p.term, id, term)
+		}
+	}
+}
+
+// began checks G14 when an instance starts to accept writes in a term.
+func (w *world) began(i *instance, term proxy.Term) {
+	w.stats.promotions++
+	for _, p := range w.promotions {
+		if p.term == term && p.instance != i.id {
+			w.violate("%s and %s both lead term %d", p.instance, i.id, term)
+		}
+	}
+	w.promotions = append(w.promotions, promoted{term: term, instance: i.id, at: w.now})
+	for _, a := range w.acked {
+		if a.term < term && !i.contains(a.id) {
+			w.violate("G14: %s begins term %d without write %d acknowledged in term %d", i.id, term, a.id, a.term)
+		}
+	}
+}
+
+// event is a scheduled action.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	do       func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
