--- /dev/null
+++ b/pkg/proxy/promotion/fault_test.go
@@ -0,0 +1,164 @@
+package promotion_test
+
+import (
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
+)
+
+// faultKinds returns the faults that a random run draws from.
+func (w *world) faultKinds() []func(f fault) {
+	return []func(f fault){
+		w.killInstance, w.killHost, w.pauseHost, w.cutHost, w.cutPlatform, w.cutHosts,
+		w.cutInstances, w.isolate, w.isolateFromHosts, w.outage, w.slowPlatform,
+		w.loseAnswers, w.lagReplica, w.lagAll, w.hangConnection, w.cutOneWay, w.slowLink,
+		w.askChange,
+	}
+}
+
+// fault is one disturbance that ends by itself.
+type fault struct {
+	lasts    time.Duration
+	host     *host
+	instance *instance
+	other    *instance
+}
+
+// disturb inflicts a random fault. Half of those of an instance hit the primary.
+func (w *world) disturb(longest time.Duration) {
+	if w.now >= w.end {
+		return
+	}
+	f := fault{
+		lasts:    min(w.between(20*time.Millisecond, longest), w.end-w.now),
+		host:     w.hosts[w.rng.IntN(len(w.hosts))],
+		instance: w.instances[w.rng.IntN(len(w.instances))],
+		other:    w.instances[w.rng.IntN(len(w.instances))],
+	}
+	if p := w.primary(); p != nil && w.chance(0.5) {
+		f.instance = p
+	}
+	kinds := w.faultKinds()
+	kinds[w.rng.IntN(len(kinds))](f)
+}
+
+// provoke inflicts faults at a moment that a change of primary depends on.
+func (w *world) provoke() {
+	for w.chance(w.pressure) {
+		if w.chance(0.4) {
+			h := w.hosts[w.rng.IntN(len(w.hosts))]
+			w.after(w.between(0, 300*time.Millisecond), func() {
+				w.pauseHost(fault{lasts: w.between(20*time.Millisecond, 600*time.Millisecond), host: h})
+			})
+			continue
+		}
+		w.after(w.between(0, 300*time.Millisecond), func() { w.disturb(2 * time.Second) })
+	}
+}
+
+// primary returns the instance that the object names.
+func (w *world) primary() *instance {
+	o, err := promotion.Decode(w.store.value)
+	if err != nil {
+		return nil
+	}
+	return w.instance(o.Era().Primary)
+}
+
+func (w *world) killInstance(f fault) {
+	if f.instance.alive {
+		f.instance.kill(f.lasts)
+	}
+}
+
+func (w *world) killHost(f fault) {
+	if f.host.alive {
+		f.host.kill(f.lasts)
+	}
+}
+
+func (w *world) pauseHost(f fault) {
+	f.host.paused = max(f.host.paused, w.now+f.lasts)
+}
+
+func (w *world) cutHost(f fault) { w.block(f.host.name(), f.instance.name(), true, f.lasts) }
+
+func (w *world) cutPlatform(f fault) { w.block(f.host.name(), platform, true, f.lasts) }
+
+func (w *world) cutHosts(f fault) {
+	for _, h := range w.hosts {
+		if h != f.host && w.chance(0.5) {
+			w.block(h.name(), f.host.name(), true, f.lasts)
+		}
+	}
+}
+
+func (w *world) cutInstances(f fault) {
+	if f.instance != f.other {
+		w.block(f.instance.name(), f.other.name(), true, f.lasts)
+	}
+}
+
+// isolate cuts an instance from the others and from all hosts but perhaps one.
+func (w *world) isolate(f fault) {
+	for _, i := range w.instances {
+		if i != f.instance {
+			w.block(f.instance.name(), i.name(), true, f.lasts)
+		}
+	}
+	w.isolateFromHosts(f)
+}
+
+// isolateFromHosts cuts an instance from all hosts but perhaps one, which may
+// lose the platform as well. Replicas still receive the instance's log.
+func (w *world) isolateFromHosts(f fault) {
+	keep := w.chance(0.7)
+	for _, h := range w.hosts {
+		if h != f.host || !keep {
+			w.block(f.instance.name(), h.name(), true, f.lasts)
+		}
+	}
+	if w.chance(0.4) {
+		w.block(f.host.name(), platform, true, f.lasts)
+	}
+}
+
+func (w *world) outage(f fault) { w.store.outage(f.lasts) }
+
+func (w *world) slowPlatform(f fault) {
+	slow := w.between(0, callTimeout)
+	w.store.slow += slow
+	w.after(f.lasts, func() { w.store.slow -= slow })
+}
+
+func (w *world) loseAnswers(f fault) {
+	w.store.lose, w.store.late = 0.6, 0.3
+	w.after(f.lasts, func() { w.store.lose, w.store.late = 0, 0 })
+}
+
+func (w *world) lagReplica(f fault) {
+	f.other.lag = w.between(0, f.lasts)
+	w.after(f.lasts, func() { f.other.lag = usualLag })
+}
+
+func (w *world) lagAll(f fault) {
+	for _, i := range w.instances {
+		f.other = i
+		w.lagReplica(f)
+	}
+}
+
+func (w *world) hangConnection(f fault) { f.host.hung[f.instance.id] = true }
+
+func (w *world) cutOneWay(f fault) {
+	w.block(f.instance.name(), f.host.name(), false, f.lasts)
+}
+
+// slowLink delays the traffic between a host and all instances.
+func (w *world) slowLink(f fault) {
+	slow := w.between(0, probeTimeout)
+	f.host.slow += slow
+	w.after(f.lasts, func() { f.host.slow -= slow })
+}
+
+func (w *world) askChange(f fault) { w.nameNext(f.instance) }
--- a/pkg/proxy/promotion/store_test.go
+++ b/pkg/proxy/promotion/store_test.go
@@ -104,6 +104,7 @@
 		return 0, proxy.ErrConflict
 	}
 	s.version++
+	s.w.provoke()
 	s.value = p.Value
 	object := proxy.Object{Key: p.Key, Value: p.Value, Version: s.version}
 	for _, h := range s.w.hosts {
--- a/pkg/proxy/promotion/world_test.go
+++ b/pkg/proxy/promotion/world_test.go
@@ -32,6 +32,8 @@
 	// slowOrder is the probability that an order to an instance is delivered
 	// up to three seconds late.
 	slowOrder float64
+	// pressure is the probability of a fault at each step of a change of primary.
+	pressure float64
 	// staleCheck makes hosts pass Acknowledge the instant of the database's
 	// answer instead of the present one.
 	staleCheck bool
