--- a/internal/emulator/instance/analysis.go
+++ b/internal/emulator/instance/analysis.go
@@ -132,6 +132,8 @@
 		return []description{{a.source.alias, a.seriesType()}}
 	case sourceCheckpoint:
 		return []description{{timelineColumn, pgtype.Int4OID}}
+	case sourceReceiver:
+		return []description{{receiverColumn, pgtype.TextOID}}
 	}
 	panic(errorf(stateSyntax, "SELECT * with no tables specified is not valid"))
 }
@@ -139,6 +141,9 @@
 // timelineColumn is the supported column of pg_control_checkpoint().
 const timelineColumn = "timeline_id"
 
+// receiverColumn is the supported column of pg_stat_wal_receiver.
+const receiverColumn = "status"
+
 // seriesType returns the type of the numbers of generate_series.
 func (a *analysis) seriesType() uint32 {
 	first := a.infer(a.source.first, pgtype.Int4OID)
@@ -238,6 +243,10 @@
 		if c.name == timelineColumn {
 			return pgtype.Int4OID
 		}
+	case sourceReceiver:
+		if c.name == receiverColumn {
+			return pgtype.TextOID
+		}
 	}
 	panic(errorf(stateUndefinedColumn, "column %q does not exist", c.name))
 }
--- a/internal/emulator/instance/engine.go
+++ b/internal/emulator/instance/engine.go
@@ -31,7 +31,9 @@
 	source   string
 	link     uint64
 	diverged bool
-	changed  chan struct{}
+	// streaming reports that the source has answered on the present link.
+	streaming bool
+	changed   chan struct{}
 	// system holds the settings of ALTER SYSTEM other than the source.
 	system map[string]string
 	// advisory holds the sessions that hold advisory locks.
@@ -63,6 +65,8 @@
 	Source   string         `json:"source"`
 	// Diverged reports that the source's log does not continue this one.
 	Diverged bool `json:"diverged"`
+	// Streaming reports that the source has answered.
+	Streaming bool `json:"streaming"`
 }
 
 // State returns the current state. On a primary both positions are the end of
@@ -71,12 +75,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := State{
-		Primary:  e.primary,
-		Timeline: e.log.end().Timeline,
-		Received: e.log.end().Position,
-		Replayed: e.log[:e.replayed].end().Position,
-		Source:   e.source,
-		Diverged: e.diverged,
+		Primary:   e.primary,
+		Timeline:  e.log.end().Timeline,
+		Received:  e.log.end().Position,
+		Replayed:  e.log[:e.replayed].end().Position,
+		Source:    e.source,
+		Diverged:  e.diverged,
+		Streaming: e.streaming && !e.primary,
 	}
 	return s
 }
--- a/internal/emulator/instance/parser_query.go
+++ b/internal/emulator/instance/parser_query.go
@@ -90,6 +90,8 @@
 		p.wantSymbol("(")
 		p.wantSymbol(")")
 		return source{kind: sourceCheckpoint}
+	case p.words("pg_stat_wal_receiver"):
+		return source{kind: sourceReceiver}
 	}
 	p.table()
 	return source{kind: sourceTable}
--- a/internal/emulator/instance/replication.go
+++ b/internal/emulator/instance/replication.go
@@ -32,6 +32,7 @@
 	e.source = source
 	e.link++
 	e.diverged = false
+	e.streaming = false
 	e.notify()
 }
 
@@ -53,6 +54,7 @@
 		return false
 	}
 	e.diverged = false
+	e.streaming = true
 	for _, r := range records {
 		if r.Start != e.log.end().Position {
 			return false
--- a/internal/emulator/instance/selection.go
+++ b/internal/emulator/instance/selection.go
@@ -120,8 +120,15 @@
 	case sourceTable:
 		return s.table(stmt, sc)
 	}
-	timeline := intValue(int64(s.engine.State().Timeline))
-	sc.number = value{oid: pgtype.Int4OID, text: timeline.text}
+	if stmt.source.kind == sourceReceiver {
+		if !s.engine.State().Streaming {
+			return counter(0), nil
+		}
+		sc.number = textValue("streaming")
+	} else {
+		timeline := intValue(int64(s.engine.State().Timeline))
+		sc.number = value{oid: pgtype.Int4OID, text: timeline.text}
+	}
 	ok, err := sc.holds(stmt.where)
 	if !ok {
 		return counter(0), err
--- a/internal/emulator/instance/statement.go
+++ b/internal/emulator/instance/statement.go
@@ -77,6 +77,7 @@
 	sourceTable
 	sourceSeries
 	sourceCheckpoint
+	sourceReceiver
 )
 
 // source is what a SELECT reads. alias names the series' column.
