--- a/internal/emulator/instance/administration.go
+++ b/internal/emulator/instance/administration.go
@@ -24,7 +24,7 @@
 // Status returns the current status.
 func (i *Instance) Status() Status {
 	s := Status{Name: i.options.Name, State: i.engine.State()}
-	s.Running, s.Waiting, s.Peak = i.gate.counts()
+	s.Running, s.Waiting, s.Peak = i.slots.counts()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	s.Connections, s.Highest, s.Refused = i.admitted, i.highest, i.refused
@@ -48,7 +48,7 @@
 	i.mu.Unlock()
 	i.engine.SetLag(faults.Lag)
 	i.engine.SetCut(faults.Cut)
-	i.gate.setLimit(faults.Slots)
+	i.slots.setLimit(faults.Slots)
 	return nil
 }
 
@@ -59,7 +59,7 @@
 	defer i.mu.Unlock()
 	c, ok := i.connections[pid]
 	if ok {
-		c.pipe.silent.Store(true)
+		c.client.silent.Store(true)
 	}
 	return ok
 }
@@ -70,7 +70,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, c := range i.connections {
-		c.pipe.silent.Store(true)
+		c.client.silent.Store(true)
 	}
 	return len(i.connections)
 }
--- a/internal/emulator/instance/pipe.go
+++ b/internal/emulator/instance/client_conn.go
@@ -5,27 +5,27 @@
 	"sync/atomic"
 )
 
-// pipe is a network connection that can be silenced. A silenced connection
+// clientConn is a network connection that can be silenced. A silenced connection
 // swallows what both sides send and stays open until the client closes it.
-type pipe struct {
+type clientConn struct {
 	net.Conn
 	silent atomic.Bool
 }
 
 // Read returns the bytes that arrive until the connection is silenced.
-func (p *pipe) Read(b []byte) (int, error) {
+func (c *clientConn) Read(b []byte) (int, error) {
 	for {
-		n, err := p.Conn.Read(b)
-		if err != nil || !p.silent.Load() {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
 			return n, err
 		}
 	}
 }
 
 // Write sends b, or drops it once the connection is silenced.
-func (p *pipe) Write(b []byte) (int, error) {
-	if p.silent.Load() {
+func (c *clientConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
 		return len(b), nil
 	}
-	return p.Conn.Write(b)
+	return c.Conn.Write(b)
 }
--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -21,8 +21,8 @@
 	instance *Instance
 	pid      uint32
 	secret   []byte
-	pipe     *pipe
-	conn     net.Conn // pipe, or TLS on it
+	client   *clientConn
+	conn     net.Conn // client, or TLS on it
 	backend  *pgproto3.Backend
 	session  *session
 	prepared map[string]*prepared
@@ -56,7 +56,7 @@
 	c.terminated = true
 	c.mu.Unlock()
 	c.interrupt(errTerminated)
-	_ = c.pipe.Close()
+	_ = c.client.Close()
 }
 
 // serve runs the connection until it ends. The transaction that is open then
@@ -231,8 +231,8 @@
 	ctx, done := c.begin()
 	defer done()
 	c.session.ctx = ctx
-	defer c.session.gate.leave()
-	if err := c.session.gate.enter(ctx); err != nil {
+	defer c.session.slots.release()
+	if err := c.session.slots.acquire(ctx); err != nil {
 		return err
 	}
 	suspended, err := c.rows(p, maximum)
--- a/internal/emulator/instance/control.go
+++ b/internal/emulator/instance/control.go
@@ -17,7 +17,7 @@
 	pollTime  = time.Second
 )
 
-// target of a control request: a control address.
+// sourceBody names a control address, empty for none.
 type sourceBody struct {
 	Source string `json:"source"`
 }
@@ -46,8 +46,8 @@
 //	GET  /log       records after a mark, by long poll
 func (i *Instance) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { answer(w, i.Status()) })
-	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { answer(w, i.Faults()) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Faults()) })
 	mux.HandleFunc("PUT /faults", i.putFaults)
 	mux.HandleFunc("POST /silence", i.postSilence)
 	mux.HandleFunc("POST /follow", i.postFollow)
@@ -65,14 +65,14 @@
 	}
 }
 
-// answer writes a value as JSON.
-func answer(w http.ResponseWriter, v any) {
+// writeJSON writes a value as JSON.
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// accept decodes the body of a request, or answers with status 400.
-func accept(w http.ResponseWriter, r *http.Request, body any) bool {
+// decodeBody decodes the body of a request, or answers with status 400.
+func decodeBody(w http.ResponseWriter, r *http.Request, body any) bool {
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(body); err != nil {
@@ -84,7 +84,7 @@
 
 func (i *Instance) putFaults(w http.ResponseWriter, r *http.Request) {
 	faults := i.Faults()
-	if !accept(w, r, &faults) {
+	if !decodeBody(w, r, &faults) {
 		return
 	}
 	if err := i.SetFaults(faults); err != nil {
@@ -92,32 +92,32 @@
 		return
 	}
 	i.options.Log.Info().Interface("faults", faults).Msg("faults changed")
-	answer(w, faults)
+	writeJSON(w, faults)
 }
 
 func (i *Instance) postSilence(w http.ResponseWriter, r *http.Request) {
 	var body silenceBody
-	if !accept(w, r, &body) {
+	if !decodeBody(w, r, &body) {
 		return
 	}
 	if body.All {
-		answer(w, silenced{i.SilenceAll()})
+		writeJSON(w, silenced{i.SilenceAll()})
 		return
 	}
 	if !i.Silence(body.PID) {
 		http.Error(w, "no open connection has this pid", http.StatusNotFound)
 		return
 	}
-	answer(w, silenced{1})
+	writeJSON(w, silenced{1})
 }
 
 func (i *Instance) postFollow(w http.ResponseWriter, r *http.Request) {
 	var body sourceBody
-	if !accept(w, r, &body) {
+	if !decodeBody(w, r, &body) {
 		return
 	}
 	i.Follow(body.Source)
-	answer(w, i.Status())
+	writeJSON(w, i.Status())
 }
 
 func (i *Instance) postPromote(w http.ResponseWriter, _ *http.Request) {
@@ -125,19 +125,19 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
-	answer(w, i.Status())
+	writeJSON(w, i.Status())
 }
 
 func (i *Instance) postRewind(w http.ResponseWriter, r *http.Request) {
 	var body sourceBody
-	if !accept(w, r, &body) {
+	if !decodeBody(w, r, &body) {
 		return
 	}
 	if err := i.Rewind(r.Context(), body.Source); err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	answer(w, i.Status())
+	writeJSON(w, i.Status())
 }
 
 func (i *Instance) getSegments(w http.ResponseWriter, _ *http.Request) {
@@ -146,7 +146,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	answer(w, segments)
+	writeJSON(w, segments)
 }
 
 // getLog answers with the records after the mark in the query, and with none
@@ -170,13 +170,13 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		case len(records) > 0:
-			answer(w, records)
+			writeJSON(w, records)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, []Record{})
+			writeJSON(w, []Record{})
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/emulator/instance/faults_test.go
+++ b/internal/emulator/instance/faults_test.go
@@ -74,6 +74,28 @@
 	is.Equal(request(t, i, "POST", "/silence", `{"pid": 999}`, nil), 404)
 }
 
+// Guards against the answer of a running statement that passes the silence, and
+// against a silence that stops the statement.
+func TestSilenceOfRunningStatement(t *testing.T) {
+	is := is.New(t)
+	i := start(t, instance.Options{Name: "a"})
+	holder, silent := connect(t, i), connect(t, i)
+	run(t, holder, "BEGIN; INSERT INTO kv VALUES ('k', '0')")
+	ctx, giveUp := context.WithCancel(background(t))
+	defer giveUp()
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := silent.Exec(ctx, "INSERT INTO kv VALUES ('k', '1') ON CONFLICT (key) DO UPDATE SET value = '1'")
+		outcome <- err
+	}()
+	eventually(t, func() bool { return i.Engine().Waiters() == 1 })
+	is.True(i.Silence(silent.PgConn().PID()))
+	run(t, holder, "COMMIT")
+	eventually(t, func() bool { return text(t, holder, "SELECT value FROM kv") == "1" })
+	giveUp()
+	is.True(errors.Is(<-outcome, context.Canceled))
+}
+
 // Guards against limits that are not enforced or not measured, and against
 // faults that a control request does not change or changes besides.
 func TestLimitsOverControl(t *testing.T) {
@@ -86,6 +108,8 @@
 	is.Equal(request(t, i, "PUT", "/faults", `{"slots": -1}`, nil), 400)
 	is.Equal(request(t, i, "PUT", "/faults", `{"slot": 1}`, nil), 400)
 	is.Equal(i.Faults(), faults)
+	is.Equal(request(t, i, "POST", "/follow", `{"address": ""}`, nil), 400)
+	is.True(i.Status().Primary)
 
 	var clients []*pgx.Conn
 	for range 4 {
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -57,7 +57,7 @@
 	started  time.Time
 	ctx      context.Context // ends with the instance
 	stop     context.CancelFunc
-	gate     gate
+	slots    semaphore
 	wait     sync.WaitGroup
 
 	mu          sync.Mutex
@@ -209,21 +209,21 @@
 func (i *Instance) connect(conn net.Conn) *connection {
 	c := &connection{
 		instance: i,
-		pipe:     &pipe{Conn: conn},
+		client:   &clientConn{Conn: conn},
 		secret:   make([]byte, secretSize),
 		prepared: make(map[string]*prepared),
 		portals:  make(map[string]*portal),
 		reported: make(map[string]string),
 	}
 	_, _ = rand.Read(c.secret)
-	c.attach(c.pipe)
+	c.attach(c.client)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.lastPID++
 	c.pid = i.lastPID
 	c.session = &session{
 		engine:     i.engine,
-		gate:       &i.gate,
+		slots:      &i.slots,
 		pid:        c.pid,
 		block:      blockIdle,
 		limit:      func() string { return strconv.Itoa(i.Faults().Connections) },
--- a/internal/emulator/instance/parser.go
+++ b/internal/emulator/instance/parser.go
@@ -156,10 +156,10 @@
 	case p.words("start transaction"):
 		return p.begin("START TRANSACTION")
 	case p.words("commit"), p.words("end"):
-		p.noise()
+		p.optionalWords()
 		return commitStatement{}
 	case p.words("abort"):
-		p.noise()
+		p.optionalWords()
 		return rollbackStatement{}
 	case p.words("rollback"):
 		return p.rollback()
@@ -206,8 +206,8 @@
 	" explain fetch grant listen lock merge move notify prepare reindex revoke truncate unlisten" +
 	" vacuum values with "
 
-// noise takes the optional words after COMMIT and ROLLBACK.
-func (p *parser) noise() {
+// optionalWords takes the optional words after COMMIT and ROLLBACK.
+func (p *parser) optionalWords() {
 	if !p.words("work") {
 		p.words("transaction")
 	}
@@ -215,7 +215,7 @@
 
 func (p *parser) begin(tag string) statement {
 	if tag == "BEGIN" {
-		p.noise()
+		p.optionalWords()
 	}
 	return beginStatement{tag: tag, access: p.modes()}
 }
@@ -241,7 +241,7 @@
 }
 
 func (p *parser) rollback() statement {
-	p.noise()
+	p.optionalWords()
 	if !p.words("to") {
 		return rollbackStatement{}
 	}
--- a/internal/emulator/instance/protocol_test.go
+++ b/internal/emulator/instance/protocol_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	f := pgproto3.NewFrontend(conn, conn)
 	f.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
@@ -179,7 +179,8 @@
 }
 
 // Guards against a wrong password or user that is let in, and against TLS that
-// is offered without a certificate or not used with one.
+// is offered without a certificate or not used with one, and against a newer
+// minor version of the protocol that is refused.
 func TestAuthentication(t *testing.T) {
 	is := is.New(t)
 	certificate := selfSigned(t)
@@ -201,6 +202,7 @@
 	is.Equal(open(secure, "system:wrong", "require"), "28P01")
 	is.Equal(open(secure, "other:secret", "require"), "28000")
 	is.Equal(open(plain, "anyone", "prefer"), "in")
+	is.Equal(open(plain, "anyone", "disable&max_protocol_version=3.2&application_name=x"), "in")
 	is.True(strings.Contains(open(plain, "anyone", "require"), "refused TLS"))
 }
 
--- a/internal/emulator/instance/replication_test.go
+++ b/internal/emulator/instance/replication_test.go
@@ -73,14 +73,14 @@
 			want, ok := states[s.Replayed]
 			is.True(ok)
 			is.Equal(replica.Scan(replica.Begin()), want)
-			is.True(s.Replayed == states0 || now.Sub(received[s.Replayed]) >= 100 || received[s.Replayed] == 0)
+			is.True(s.Replayed == logStart || now.Sub(received[s.Replayed]) >= 100 || received[s.Replayed] == 0)
 		}
 	}
-	is.True(replica.State().Replayed > states0)
+	is.True(replica.State().Replayed > logStart)
 }
 
-// states0 is the position of an empty log.
-const states0 proxy.Position = 0x1000000
+// logStart is the position of an empty log.
+const logStart proxy.Position = 0x1000000
 
 // Guards against two histories that are mixed after failovers: logs that are
 // not refused as diverged must agree at every common position, and a rewound
@@ -139,7 +139,7 @@
 func checkLogs(is *is.I, engines map[string]*instance.Engine) {
 	seen := map[instance.Mark][]instance.Row{}
 	for _, e := range engines {
-		tail, err := e.Read(instance.Mark{Position: states0}, 1<<30)
+		tail, err := e.Read(instance.Mark{Position: logStart}, 1<<30)
 		is.NoErr(err)
 		if len(tail) == 0 || e.State().Replayed != e.State().Received {
 			continue
@@ -154,7 +154,33 @@
 	}
 }
 
-// follower starts a replica of a primary and returns clients of both.
+// Guards against a fetch in flight that moves the received position after the
+// source was changed or replication was cut.
+func TestLateRecordsAreRefused(t *testing.T) {
+	is := is.New(t)
+	primary, replica := instance.NewEngine("a", true), instance.NewEngine("b", false)
+	_, err := write(primary, "k", "1")
+	is.NoErr(err)
+	replica.Follow("a", false)
+	link, after, ok := replica.Link()
+	is.True(ok)
+	records, err := primary.Read(after, 1<<20)
+	is.NoErr(err)
+	replica.SetCut(true)
+	is.True(!replica.Receive(0, link, after, records))
+	replica.SetCut(false)
+	replica.Follow("", false)
+	is.True(!replica.Receive(0, link, after, records))
+	replica.Follow("a", false)
+	is.True(!replica.Receive(0, link, after, records))
+	is.Equal(replica.State().Received, logStart)
+	link, after, _ = replica.Link()
+	is.True(replica.Receive(0, link, after, records))
+	is.True(!replica.Receive(0, link, after, records))
+	is.Equal(replica.State().Received, primary.State().Received)
+}
+
+// pair starts a primary and its replica and returns clients of both.
 func pair(t *testing.T) (primary, replica *instance.Instance, p, r *pgx.Conn) {
 	primary = start(t, instance.Options{Name: "a"})
 	replica = start(t, instance.Options{Name: "b", Source: primary.ControlAddress()})
--- a/internal/emulator/instance/selection.go
+++ b/internal/emulator/instance/selection.go
@@ -252,10 +252,10 @@
 	return rows, nil
 }
 
-// candidates returns the row with the key that the condition demands, or all
-// rows if it demands no single key.
+// candidates returns the row with the key that the condition requires, or all
+// rows if it requires no single key.
 func (s *session) candidates(where expression, sc *scope) ([]Row, error) {
-	e := demandedKey(where)
+	e := requiredKey(where)
 	if e == nil {
 		return s.engine.Scan(s.tx), nil
 	}
@@ -270,18 +270,18 @@
 	return []Row{{key.text, text}}, nil
 }
 
-// demandedKey returns the literal or parameter that a condition requires the
+// requiredKey returns the literal or parameter that a condition requires the
 // key to be equal to, nil if there is none.
-func demandedKey(where expression) expression {
+func requiredKey(where expression) expression {
 	o, ok := where.(operation)
 	if !ok {
 		return nil
 	}
 	if o.operator == "and" {
-		if e := demandedKey(o.left); e != nil {
+		if e := requiredKey(o.left); e != nil {
 			return e
 		}
-		return demandedKey(o.right)
+		return requiredKey(o.right)
 	}
 	if c, ok := o.left.(column); !ok || c.name != "key" || o.operator != "=" {
 		return nil
--- a/internal/emulator/instance/session.go
+++ b/internal/emulator/instance/session.go
@@ -17,7 +17,7 @@
 // session is the SQL state of a connection. One goroutine uses it.
 type session struct {
 	engine   *Engine
-	gate     *gate
+	slots    *semaphore
 	pid      uint32
 	settings settings
 	limit    func() string // max_connections
@@ -63,13 +63,13 @@
 	if err != nil || granted == nil {
 		return err
 	}
-	s.gate.leave()
+	s.slots.release()
 	select {
 	case <-granted:
-		return s.gate.enter(s.ctx)
+		return s.slots.acquire(s.ctx)
 	case <-s.ctx.Done():
 		s.engine.Abandon(s.tx)
-		s.gate.reenter()
+		s.slots.reacquire()
 		return context.Cause(s.ctx)
 	}
 }
--- a/internal/emulator/instance/startup.go
+++ b/internal/emulator/instance/startup.go
@@ -116,7 +116,8 @@
 		}
 		switch msg := msg.(type) {
 		case *pgproto3.StartupMessage:
-			return msg, c.negotiate(msg)
+			c.negotiate(msg)
+			return msg, nil
 		case *pgproto3.SSLRequest:
 			err = c.encrypt()
 		case *pgproto3.GSSEncRequest:
@@ -132,11 +133,10 @@
 }
 
 // negotiate tells a client with a newer minor version that 3.0 is spoken.
-func (c *connection) negotiate(msg *pgproto3.StartupMessage) error {
+func (c *connection) negotiate(msg *pgproto3.StartupMessage) {
 	if msg.ProtocolVersion != pgproto3.ProtocolVersion30 {
-		c.backend.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: pgproto3.ProtocolVersion30})
+		c.backend.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 0})
 	}
-	return nil
 }
 
 // encrypt accepts TLS if there is a certificate.
@@ -149,7 +149,7 @@
 	if _, err := c.conn.Write([]byte{'S'}); err != nil {
 		return err
 	}
-	secure := tls.Server(c.pipe, config)
+	secure := tls.Server(c.client, config)
 	if err := secure.HandshakeContext(c.instance.ctx); err != nil {
 		return fmt.Errorf("TLS handshake: %w", err)
 	}
--- a/internal/emulator/instance/statement_test.go
+++ b/internal/emulator/instance/statement_test.go
@@ -13,8 +13,8 @@
 	"github.com/auburnyoke/auburnyoke/internal/emulator/instance"
 )
 
-// patience ends a test that hangs.
-const patience = 30 * time.Second
+// testTimeout ends a test that hangs.
+const testTimeout = 30 * time.Second
 
 func start(t *testing.T, options instance.Options) *instance.Instance {
 	t.Helper()
@@ -34,7 +34,7 @@
 }
 
 func background(t *testing.T) context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
 	return ctx
 }
@@ -82,7 +82,7 @@
 // eventually waits until a condition holds.
 func eventually(t *testing.T, condition func() bool) {
 	t.Helper()
-	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the condition never held")
 		}
--- a/internal/emulator/instance/transaction.go
+++ b/internal/emulator/instance/transaction.go
@@ -179,6 +179,17 @@
 	tx.writes = make(map[string]*string)
 }
 
+// Waiters returns the number of transactions that wait for a row lock.
+func (e *Engine) Waiters() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, l := range e.locks {
+		n += len(l.queue)
+	}
+	return n
+}
+
 // savedWrites returns a copy of the writes of a transaction for a savepoint.
 // Locks taken after the savepoint are kept until the end of the transaction.
 func (t *Transaction) savedWrites() map[string]*string {
--- a/internal/emulator/instance/transaction_test.go
+++ b/internal/emulator/instance/transaction_test.go
@@ -95,7 +95,7 @@
 		_, err := second.Exec(background(t), "UPDATE kv SET value = value || '!'")
 		updated <- state(err)
 	}()
-	eventually(t, func() bool { return i.Status().Running == 0 })
+	eventually(t, func() bool { return i.Engine().Waiters() == 1 })
 	select {
 	case <-updated:
 		t.Fatal("the second writer did not wait")
