--- a/internal/inner/certificates_test.go
+++ b/internal/inner/certificates_test.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -132,6 +133,17 @@
 	}
 }
 
+// Guards against a front that trusts any server which accepts it.
+func TestForeignServerIsRejected(t *testing.T) {
+	is := is.New(t)
+	foreign := certificates(t, newAuthority(t))
+	certificate, err := tls.LoadX509KeyPair(foreign.Certificate, foreign.Key)
+	is.NoErr(err)
+	h := startSecureHost(t, 2, &tls.Config{Certificates: []tls.Certificate{certificate}}, certificates(t, newAuthority(t)).Client())
+	_, err = h.client(t, 1).At(h.address).Lend(t.Context(), ask(1))
+	is.True(err != nil)
+}
+
 // Guards against a foreign peer that skips its own check of the server: the
 // server must reject a client without a certificate of the fleet.
 func TestClientWithoutCertificateIsRejected(t *testing.T) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -74,6 +74,11 @@
 	at, err := loan.Confirm(t.Context())
 	is.NoErr(err)
 	is.Equal(at, proxy.Bookmark{Term: 1, Position: 0x100})
+	is.Equal(b.leaders.acknowledged, []proxy.Bookmark{at})
+	b.leaders.refusal = proxy.Doubt(proxy.OutcomeUnknown, "no lease")
+	_, err = loan.Confirm(t.Context())
+	is.Equal(proxy.AsRefusal(err).Text, "no lease")
+	b.leaders.refusal = nil
 	b.leaders.set(proxy.Leadership{Term: 2, Primary: "one"})
 	_, err = loan.Confirm(t.Context())
 	is.Equal(proxy.AsRefusal(err).Outcome, proxy.Unknown) // a loan of an older term
--- a/internal/pool/scripted_test.go
+++ b/internal/pool/scripted_test.go
@@ -140,6 +140,9 @@
 type leaders struct {
 	mu         sync.Mutex
 	leadership proxy.Leadership
+	// refusal is the answer of Acknowledge.
+	refusal      error
+	acknowledged []proxy.Bookmark
 }
 
 func (l *leaders) set(leadership proxy.Leadership) {
@@ -154,13 +157,12 @@
 	return l.leadership, true
 }
 
-func (l *leaders) Acknowledge(_ proxy.Instant, _ proxy.GroupID, instance proxy.InstanceID, at proxy.Bookmark) error {
+// Acknowledge accepts all writes, so that the pool's own checks are tested.
+func (l *leaders) Acknowledge(_ proxy.Instant, _ proxy.GroupID, _ proxy.InstanceID, at proxy.Bookmark) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if instance != l.leadership.Primary || at.Term != l.leadership.Term {
-		return proxy.Doubt(proxy.OutcomeUnknown, "replaced")
-	}
-	return nil
+	l.acknowledged = append(l.acknowledged, at)
+	return l.refusal
 }
 
 // catalog is a proxy.Catalog whose document tests replace.
--- a/pkg/proxy/routing/routing_test.go
+++ b/pkg/proxy/routing/routing_test.go
@@ -22,7 +22,7 @@
 			Primary: rapid.SampledFrom(names).Draw(t, "primary"),
 			Start:   proxy.Position(rapid.IntRange(0, 10).Draw(t, "start")),
 		},
-		Known:   rapid.Bool().Draw(t, "known"),
+		Known:   rapid.IntRange(0, 9).Draw(t, "known") > 0,
 		Zone:    "a",
 		Slots:   rapid.IntRange(0, 3).Draw(t, "slots"),
 		Horizon: time.Second,
@@ -32,8 +32,8 @@
 		table.States = append(table.States, proxy.InstanceState{
 			Instance: name,
 			Zone:     rapid.SampledFrom([]proxy.Zone{"a", "b"}).Draw(t, "zone"),
-			Primary:  rapid.Bool().Draw(t, "role"),
-			Term:     proxy.Term(rapid.IntRange(1, 3).Draw(t, "state term")),
+			Primary:  name == table.Leadership.Primary != (rapid.IntRange(0, 9).Draw(t, "role") == 0),
+			Term:     table.Leadership.Term + proxy.Term(rapid.SampledFrom([]int{0, 0, 0, 0, 1}).Draw(t, "newer")),
 			Replayed: proxy.Position(rapid.IntRange(0, 20).Draw(t, "replayed")),
 			Seen:     seen,
 			Current:  seen.Add(-time.Duration(rapid.IntRange(0, 1500).Draw(t, "lag")) * time.Millisecond),
@@ -48,7 +48,7 @@
 		Access: rapid.SampledFrom([]proxy.Access{proxy.Read, proxy.Write}).Draw(t, "access"),
 		After: proxy.Bookmark{
 			Term:     proxy.Term(rapid.IntRange(0, 3).Draw(t, "after term")),
-			Position: proxy.Position(rapid.IntRange(0, 20).Draw(t, "after")),
+			Position: proxy.Position(rapid.IntRange(0, 15).Draw(t, "after")),
 		},
 		Age: time.Duration(rapid.IntRange(0, 3).Draw(t, "age")) * 500 * time.Millisecond,
 	}
@@ -108,6 +108,12 @@
 	replica := func(id proxy.InstanceID, zone proxy.Zone, busy int) proxy.InstanceState {
 		return proxy.InstanceState{Instance: id, Zone: zone, Term: 2, Replayed: 9, Seen: now, Current: now, Busy: busy}
 	}
+	measured := func(seen, current time.Duration) proxy.InstanceState {
+		s := replica("two", "a", 0)
+		s.Seen, s.Current = now.Add(-seen*time.Millisecond), now.Add(-current*time.Millisecond)
+		return s
+	}
+	aged := proxy.Ask{Access: proxy.Read, Age: 500 * time.Millisecond}
 	read := proxy.Ask{Access: proxy.Read, After: proxy.Bookmark{Term: 2, Position: 9}}
 	for _, c := range []struct {
 		name   string
@@ -120,6 +126,8 @@
 		{"free slots before zone", read, []proxy.InstanceState{primary, replica("two", "b", 0), replica("three", "a", 2)}, routing.Choice{Kind: routing.Replica, Instance: "two", Term: 2}},
 		{"less load", read, []proxy.InstanceState{primary, replica("two", "a", 1), replica("three", "a", 0)}, routing.Choice{Kind: routing.Replica, Instance: "three", Term: 2}},
 		{"primary where replicas lag", proxy.Ask{Access: proxy.Read, After: proxy.Bookmark{Term: 2, Position: 10}}, []proxy.InstanceState{primary, replica("two", "a", 0)}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
+		{"replica within the age", aged, []proxy.InstanceState{primary, measured(400, 500)}, routing.Choice{Kind: routing.Replica, Instance: "two", Term: 2}},
+		{"age includes the measurement's", aged, []proxy.InstanceState{primary, measured(400, 501)}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
 		{"write", proxy.Ask{Access: proxy.Write}, []proxy.InstanceState{primary, replica("two", "a", 0)}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
 		{"unmeasured primary", proxy.Ask{Access: proxy.Write}, []proxy.InstanceState{{Instance: "one"}}, routing.Choice{Kind: routing.Primary, Instance: "one", Term: 2}},
 	} {
