Let the hosts decide primaries, forward requests and extend go-zero's shutdown

go-zero stops its HTTP servers 1 s after SIGTERM and sends the signal again after 5.5 s, which is shorter than the grace period of a planned stop.

--- a/cmd/auburnyoked/main.go
+++ b/cmd/auburnyoked/main.go
@@ -53,7 +53,6 @@
 	if err != nil {
 		return fmt.Errorf("build log: %w", err)
 	}
-	daemon.BridgeLog(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	host, cleanUp, err := daemon.New(settings, log)
@@ -61,6 +60,9 @@
 		return fmt.Errorf("build host: %w", err)
 	}
 	defer cleanUp()
+	// Building a go-zero server sets up its log, so the bridge comes after it.
+	daemon.BridgeLog(log)
+	daemon.ExtendShutdown(settings.Grace)
 	if err := host.Run(ctx); err != nil {
 		return fmt.Errorf("run host: %w", err)
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,6 +10,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
 )
 
 // own carries out the effects that modules define themselves.
@@ -17,12 +19,19 @@
 	switch e := effect.(type) {
 	case member.Changed:
 		h.driver.Post(configuration.Peers{Live: e.Live, Known: e.Known})
+		h.placement.SetHosts(h.poolCandidates(e.Live))
+		h.place()
 	case configuration.Apply:
+		h.driver.Post(promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
+		h.place()
 		h.log.Info().Uint64("revision", uint64(e.Loaded.Revision)).Msg("configuration in force")
 		h.front.Recheck()
 	case configuration.Reject:
 		h.log.Error().Err(e.Err).Msg("document rejected")
 	default:
+		if h.supervisor.Carry(effect) {
+			return
+		}
 		h.log.Error().Type("effect", effect).Msg("effect unknown")
 	}
 }
@@ -52,6 +61,9 @@
 		3: &member.Relay{},
 		4: &configuration.Poll{},
 		5: &configuration.Report{},
+		6: &promotion.View{},
+		7: &promotion.Drain{},
+		8: &promotion.Drained{},
 	} {
 		if err := registry.Register(kind, message); err != nil {
 			return nil, fmt.Errorf("control messages: %w", err)
@@ -60,17 +72,87 @@
 	return registry, nil
 }
 
-// share returns this host's connections to each instance of a group.
-func (h *Host) share(group proxy.GroupID) int {
+// poolCandidates returns the hosts that may pool groups: this one and the live
+// ones, without those that are leaving.
+func (h *Host) poolCandidates(live []proxy.HostState) []proxy.HostState {
+	var hosts []proxy.HostState
+	if !h.stopping.Load() {
+		hosts = append(hosts, h.self)
+	}
+	for _, peer := range live {
+		if !peer.Leaving {
+			hosts = append(hosts, peer)
+		}
+	}
+	return hosts
+}
+
+// place tells the promotion module the pool hosts of each group.
+func (h *Host) place() {
 	document, _ := h.configuration.Current()
 	if document == nil {
-		return 0
+		return
 	}
-	_, known := h.members.Live()
-	for _, g := range document.Groups {
-		if g.ID == group {
-			return g.Connections / (known + 1)
+	live, _ := h.members.Live()
+	hosts := h.poolCandidates(live)
+	for i := range document.Groups {
+		group := &document.Groups[i]
+		placed := promotion.Placed{Group: group.ID}
+		for _, host := range placement.Pools(group, hosts) {
+			placed.Hosts = append(placed.Hosts, host.ID)
 		}
+		h.driver.Post(placed)
+	}
+}
+
+// find returns a group of the document in force.
+func (h *Host) find(id proxy.GroupID) *proxy.Group {
+	document, _ := h.configuration.Current()
+	if document == nil {
+		return nil
+	}
+	for i := range document.Groups {
+		if document.Groups[i].ID == id {
+			return &document.Groups[i]
+		}
+	}
+	return nil
+}
+
+// pooled reports whether this host pools a group.
+func (h *Host) pooled(id proxy.GroupID) bool {
+	group := h.find(id)
+	if group == nil {
+		return false
+	}
+	pooled, _ := h.placement.Pooled(group)
+	return pooled
+}
+
+// share returns this host's connections to each instance of a group. One of
+// each pool host's connections is the supervisor's.
+func (h *Host) share(id proxy.GroupID) int {
+	group := h.find(id)
+	if group == nil {
+		return 0
+	}
+	pooled, width := h.placement.Pooled(group)
+	if !pooled {
+		return 0
+	}
+	return group.Connections/width - 1
+}
+
+func (h *Host) observed(o promotion.Observed) { h.driver.Post(o) }
+
+func (h *Host) writing(group proxy.GroupID, count int) {
+	h.driver.Post(promotion.Writing{Group: group, Count: count})
+}
+
+// forwarder lends from this host's pool or another's.
+func (h *Host) forwarder() proxy.Lender {
+	return &inner.Forwarder{
+		Host: h.self.ID, Local: h.pool, Client: h.peers, Placement: h.placement,
+		Catalog: h.configuration, Clock: h.clock,
 	}
-	return 0
 }
--- a/internal/daemon/first.go
+++ b/internal/daemon/first.go
@@ -7,31 +7,6 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// firstLeaders takes the primaries that the document names.
-type firstLeaders struct{ catalog proxy.Catalog }
-
-func (f firstLeaders) Leader(group proxy.GroupID) (proxy.Leadership, bool) {
-	document, _ := f.catalog.Current()
-	if document == nil {
-		return proxy.Leadership{}, false
-	}
-	for _, g := range document.Groups {
-		if g.ID != group {
-			continue
-		}
-		for _, i := range g.Instances {
-			if i.Primary {
-				return proxy.Leadership{Term: 1, Primary: i.ID}, true
-			}
-		}
-	}
-	return proxy.Leadership{}, false
-}
-
-func (firstLeaders) Acknowledge(proxy.Instant, proxy.GroupID, proxy.InstanceID, proxy.Bookmark) error {
-	return nil
-}
-
 type admitAll struct{}
 
 func (admitAll) Admit(proxy.Instant, proxy.AccountID) error { return nil }
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -23,15 +23,20 @@
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/internal/platform"
 	"github.com/auburnyoke/auburnyoke/internal/pool"
+	"github.com/auburnyoke/auburnyoke/internal/supervisor"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
 )
 
 // Intervals of the control decisions.
 const (
 	controlTick = 100 * time.Millisecond
+	// promotionTick is shorter, since a failover waits for several of them.
+	promotionTick = 20 * time.Millisecond
 )
 
 // Host is one entry host.
@@ -46,6 +51,9 @@
 	driver        *Driver
 	configuration *configuration.Table
 	members       *member.Table
+	promotion     *promotion.Machine
+	placement     *placement.Table
+	supervisor    *supervisor.Supervisor
 	pool          *pool.Pool
 	peers         *inner.Client
 	server        *inner.Server
@@ -98,19 +106,37 @@
 	}
 	h.driver.Add(h.configuration, controlTick)
 	h.driver.Add(h.members, controlTick)
+	h.promotion, err = promotion.New(promotion.Settings{
+		Host: h.self.ID, Incarnation: h.self.Incarnation, Environment: h.settings.Environment,
+		Stage: h.settings.Stage, Timing: promotion.DefaultTiming(),
+	})
+	if err != nil {
+		return fmt.Errorf("promotion: %w", err)
+	}
+	h.driver.Add(h.promotion, promotionTick)
+	h.placement = placement.NewTable(h.self.ID, h.self.Zone)
+	h.placement.SetHosts([]proxy.HostState{h.self})
+	h.supervisor = &supervisor.Supervisor{
+		Catalog: h.configuration, Stage: h.settings.Stage, Clock: h.clock,
+		User: h.settings.Instances.User, Password: password, Pooled: h.pooled, Observed: h.observed,
+		Interval: h.settings.Instances.Probe, Timeout: h.settings.Instances.Silence, Logger: h.log,
+	}
 	h.pool = &pool.Pool{
-		Catalog: h.configuration, Stage: h.settings.Stage, Leaders: firstLeaders{h.configuration}, Clock: h.clock,
+		Catalog: h.configuration, Stage: h.settings.Stage, Zone: h.self.Zone, Leaders: h.promotion, Clock: h.clock,
 		User: h.settings.Instances.User, Password: password, Share: h.share,
 		ProbeAfter: h.settings.Instances.Idle, ProbeTimeout: h.settings.Instances.Silence,
-		Poll: h.settings.Instances.Probe, Logger: h.log, Metrics: h.registry,
+		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Writing: h.writing,
+		Logger: h.log, Metrics: h.registry,
 	}
 	if err := h.buildPeers(); err != nil {
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: h.configuration, Limiter: admitAll{}, Lender: h.pool, Positions: noPositions{}, Clock: h.clock,
+		Catalog: h.configuration, Limiter: admitAll{}, Lender: h.forwarder(), Positions: noPositions{}, Clock: h.clock,
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
-		Limits: front.Limits{Sessions: h.settings.Clients.Limit},
+		Limits: front.Limits{
+			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
+		},
 	}
 	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
 		return err
@@ -189,6 +215,7 @@
 	defer h.status.Stop()
 	start(func() { h.driver.Run(inside) })
 	start(func() { h.pool.Run(inside) })
+	start(func() { h.supervisor.Run(inside) })
 	start(func() { h.peers.Run(inside) })
 	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
 	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -40,6 +40,11 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
+		if ask.Access == proxy.Write {
+			if err := p.awaitReady(ctx, ask.Group); err != nil {
+				return nil, err
+			}
+		}
 		i, lent, err := p.choose(ctx, ask)
 		if err != nil {
 			return nil, err
@@ -124,11 +129,20 @@
 			continue
 		}
 		c.session = o
-		if p.unfit(i, lent) {
+		writes := ask.Access == proxy.Write
+		if writes {
+			p.addWriter(i.group, 1)
+		}
+		// The count is raised before the check, so that a planned change of
+		// primary either sees this loan or makes it wait.
+		if p.unfit(i, lent) || writes && p.readyToWrite(i.group) != nil {
 			p.takeBack(i, c, proxy.Return{})
+			if writes {
+				p.addWriter(i.group, -1)
+			}
 			return nil, errMoved
 		}
-		return &loan{pool: p, instance: i, conn: c, lent: lent}, nil
+		return &loan{pool: p, instance: i, conn: c, lent: lent, writes: writes}, nil
 	}
 }
 
--- a/internal/pool/loan.go
+++ b/internal/pool/loan.go
@@ -21,6 +21,8 @@
 	instance *instance
 	conn     *connection
 	lent     proxy.Lent
+	// writes reports that the loan counts as a writer.
+	writes bool
 
 	mu sync.Mutex
 	// returned is set by Release, cancelled by Cancel.
@@ -62,13 +64,29 @@
 	if err = l.checkTerm(); err != nil {
 		return proxy.Bookmark{}, err
 	}
-	until = max(until, l.pool.Clock.Now())
-	if err = l.pool.Leaders.Acknowledge(until, l.instance.group, l.instance.id, at); err != nil {
+	if err = l.acknowledge(ctx, until, at); err != nil {
 		return proxy.Bookmark{}, fmt.Errorf("acknowledge: %w", err)
 	}
 	return at, nil
 }
 
+// acknowledge waits until the write may be acknowledged. A refusal with a
+// RetryAfter tells that replicas have not confirmed the position yet; they are
+// asked at once, since the next regular observation may be far away.
+func (l *loan) acknowledge(ctx context.Context, until proxy.Instant, at proxy.Bookmark) error {
+	for {
+		until = max(until, l.pool.Clock.Now())
+		err := l.pool.Leaders.Acknowledge(until, l.instance.group, l.instance.id, at)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if r := proxy.AsRefusal(err); r.RetryAfter == 0 || l.pool.Await == nil {
+			return err
+		}
+		l.pool.Await(ctx, l.instance.group)
+	}
+}
+
 // checkTerm refuses a loan whose term or primary has been replaced.
 func (l *loan) checkTerm() error {
 	leadership, known := l.pool.Leaders.Leader(l.instance.group)
@@ -121,4 +139,7 @@
 	r.Broken = r.Broken || l.cancelled
 	l.mu.Unlock()
 	l.pool.takeBack(l.instance, l.conn, r)
+	if l.writes {
+		l.pool.addWriter(l.instance.group, -1)
+	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,6 +46,13 @@
 	Password string
 	// Share returns this host's connections to each instance of a group.
 	Share func(proxy.GroupID) int
+	// Await asks the replicas of a group for their positions and returns when
+	// one has answered or ctx ends. Without it a write that replicas have not
+	// confirmed is not acknowledged.
+	Await func(context.Context, proxy.GroupID)
+	// Writing is called when the number of write loans of a group changes and
+	// may be nil.
+	Writing func(proxy.GroupID, int)
 	// Observe is called after each measurement and may be nil.
 	Observe func(proxy.GroupID, proxy.InstanceState)
 	// Failed is called after each failed connection or measurement and may be
@@ -78,6 +85,7 @@
 	tasks   sync.WaitGroup
 	changes changes
 	states  states
+	writers writers
 
 	mu        sync.Mutex
 	instances map[key]*instance
