--- a/internal/emulator/instance/analysis.go
+++ b/internal/emulator/instance/analysis.go
@@ -81,8 +81,7 @@
 func (a *analysis) selection(s *selectStatement) []description {
 	a.source = s.source
 	if s.source.kind == sourceSeries {
-		a.plain(s.source.first, pgtype.Int4OID)
-		a.plain(s.source.last, pgtype.Int4OID)
+		a.seriesType()
 	}
 	a.condition(s.where)
 	if s.order != nil {
@@ -139,10 +138,14 @@
 // timelineColumn is the supported column of pg_control_checkpoint().
 const timelineColumn = "timeline_id"
 
-// seriesType returns the type of the numbers of generate_series.
+// seriesType returns the type of the numbers of generate_series, whose
+// arguments cannot refer to its own column.
 func (a *analysis) seriesType() uint32 {
-	first := a.infer(a.source.first, pgtype.Int4OID)
-	last := a.infer(a.source.last, pgtype.Int4OID)
+	series := a.source
+	a.source = source{}
+	defer func() { a.source = series }()
+	first := a.plain(series.first, pgtype.Int4OID)
+	last := a.plain(series.last, pgtype.Int4OID)
 	if first == pgtype.Int8OID || last == pgtype.Int8OID {
 		return pgtype.Int8OID
 	}
@@ -156,11 +159,11 @@
 }
 
 // plain infers an expression that must not contain count(*).
-func (a *analysis) plain(e expression, want uint32) {
+func (a *analysis) plain(e expression, want uint32) uint32 {
 	if hasCount(e) {
 		panic(errorf(stateGrouping, "aggregate functions are not allowed here"))
 	}
-	a.infer(e, want)
+	return a.infer(e, want)
 }
 
 func (a *analysis) condition(e expression) {
@@ -266,7 +269,9 @@
 	}
 	left := a.infer(o.left, 0)
 	right := a.infer(o.right, left)
-	left = a.infer(o.left, right)
+	if left == 0 {
+		left = a.infer(o.left, right)
+	}
 	if _, ok := arithmetic[o.operator]; !ok {
 		return pgtype.BoolOID
 	}
--- a/internal/emulator/instance/parser.go
+++ b/internal/emulator/instance/parser.go
@@ -14,6 +14,19 @@
 type parser struct {
 	tokens []token
 	next   int
+	depth  int
+}
+
+// maxDepth limits the nesting of expressions, which the stack would not.
+const maxDepth = 1000
+
+// nest enters an expression and returns the function that leaves it.
+func (p *parser) nest() func() {
+	p.depth++
+	if p.depth > maxDepth {
+		panic(errorf(proxy.StatementTooComplex, "expressions are nested more than %d deep", maxDepth))
+	}
+	return func() { p.depth-- }
 }
 
 // parse returns the statements of SQL text.
--- a/internal/emulator/instance/parser_expression.go
+++ b/internal/emulator/instance/parser_expression.go
@@ -37,6 +37,7 @@
 }
 
 func (p *parser) expression() expression {
+	defer p.nest()()
 	left := p.conjunction()
 	for p.words("or") {
 		left = operation{"or", left, p.conjunction()}
@@ -53,6 +54,7 @@
 }
 
 func (p *parser) negation() expression {
+	defer p.nest()()
 	if p.words("not") {
 		return prefix{"not", p.negation()}
 	}
@@ -122,6 +124,7 @@
 }
 
 func (p *parser) sign() expression {
+	defer p.nest()()
 	if p.symbol("-") {
 		return prefix{"-", p.sign()}
 	}
--- a/internal/emulator/instance/statement_test.go
+++ b/internal/emulator/instance/statement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,3 +122,20 @@
 		is.Equal(state(err), "23505")
 	}
 }
+
+// Guards against statements whose analysis takes exponential time or exhausts
+// the stack, and against a series that refers to itself.
+func TestLargeExpressions(t *testing.T) {
+	is := is.New(t)
+	c := connect(t, start(t, instance.Options{Name: "a"}))
+	is.Equal(text(t, c, "SELECT (0"+strings.Repeat(" + 1", 500)+")::text"), "500")
+	fails := func(sql, want string) {
+		t.Helper()
+		_, err := c.Exec(background(t), sql)
+		is.Equal(state(err), want)
+	}
+	fails("SELECT "+strings.Repeat("(", 1<<20), "54001")
+	fails("SELECT "+strings.Repeat("- ", 1<<20), "54001")
+	fails("SELECT n FROM generate_series(1, n) n", "42703")
+	fails("SELECT key FROM kv WHERE count(*) > 1", "42803")
+}
