--- a/internal/inner/borrow.go
+++ b/internal/inner/borrow.go
@@ -80,7 +80,7 @@
 func (c *Client) open(ctx context.Context, p *peer, ask proxy.Ask) (proxy.Loan, error) {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, end)
-	l := &loan{client: c, peer: p, end: end}
+	l := &loan{client: c, peer: p, end: end, frame: frame{payload: p.payload}}
 	err := l.request(life, ask)
 	if !stop() {
 		l.abandon()
@@ -120,6 +120,7 @@
 func (l *loan) giveBack() {
 	l.signs.stop()
 	_ = l.channel.stream.Close()
+	l.peer.payload = l.frame.payload
 	l.client.put(l.peer)
 }
 
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"storj.io/drpc/drpcconn"
@@ -52,8 +53,21 @@
 	address string
 	// checks counts the checks since the last use.
 	checks int
+	// loan is the loan that uses the connection.
+	loan *loan
+	// frontend speaks with the instances of successive loans and is kept for its
+	// buffers. It is nil where the last loan left bytes in it.
+	frontend *pgproto3.Frontend
+	// payload is the memory of the frame received last.
+	payload []byte
 }
 
+// Read implements io.Reader for the Frontend.
+func (p *peer) Read(b []byte) (int, error) { return p.loan.Read(b) }
+
+// Write implements io.Writer for the Frontend.
+func (p *peer) Write(b []byte) (int, error) { return p.loan.Write(b) }
+
 func (p *peer) dead() bool {
 	select {
 	case <-p.Closed():
--- a/internal/inner/inner_test.go
+++ b/internal/inner/inner_test.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -148,6 +150,49 @@
 	loan.Release(proxy.Return{Broken: true})
 }
 
+// Guards against answers that reach another request, connections that are lost
+// and loans that are never given back while peer connections break all the time.
+func TestLossyLink(t *testing.T) {
+	is := is.New(t)
+	h := startHost(t, 3)
+	l := startLink(t, h.address)
+	lender := h.client(t, 1).At(l.address())
+	var working sync.WaitGroup
+	for worker := range uint64(6) {
+		random := rand.New(rand.NewPCG(3, worker))
+		working.Go(func() {
+			for range 40 {
+				if random.IntN(10) == 0 {
+					l.cut()
+				}
+				lendOver(t, lender, worker+1, random.IntN(1000))
+			}
+		})
+	}
+	working.Wait()
+	for h.pool.States("orders")[0].Busy > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(h.pool.Connections("orders", "one") <= 3)
+	is.Equal(metrics.GetOrRegisterCounter("pool.violations", h.pool.Metrics).Count(), int64(0))
+}
+
+// lendOver runs one statement; the connection may break at any time.
+func lendOver(t *testing.T, lender proxy.Lender, session uint64, number int) {
+	loan, err := lender.Lend(t.Context(), ask(session))
+	if err != nil {
+		if proxy.AsRefusal(err).Outcome != proxy.NotRun {
+			t.Errorf("a loan that was not lent is in doubt: %v", err)
+		}
+		return
+	}
+	values, err := query(loan, "SELECT "+strconv.Itoa(number))
+	loan.Release(proxy.Return{Broken: err != nil})
+	if err == nil && (len(values) != 1 || values[0] != strconv.Itoa(number)) {
+		t.Errorf("answer %v to the request for %d", values, number)
+	}
+}
+
 type note struct {
 	Text string `cbor:"1,keyasint"`
 }
@@ -170,81 +215,3 @@
 	is.Equal(<-h.delivered, proxy.Received{From: "host-1", Message: &note{"second"}})
 	is.True(client.Deliver(t.Context(), h.address, "Host 1", nil) != nil) // an invalid sender
 }
-
-// link forwards connections to a server and can be harmed.
-type link struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	conns []net.Conn
-	muted bool
-}
-
-func startLink(t testing.TB, target string) *link {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &link{listener: listener, target: target}
-	var running sync.WaitGroup
-	running.Go(func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", target)
-			if err != nil {
-				_ = near.Close()
-				continue
-			}
-			l.mu.Lock()
-			l.conns = append(l.conns, near, far)
-			l.mu.Unlock()
-			running.Go(func() { l.forward(near, far) })
-			running.Go(func() { l.forward(far, near) })
-		}
-	})
-	t.Cleanup(func() { _ = listener.Close(); l.cut(); running.Wait() })
-	return l
-}
-
-func (l *link) address() string { return l.listener.Addr().String() }
-
-func (l *link) forward(from, to net.Conn) {
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		l.mu.Lock()
-		muted := l.muted
-		l.mu.Unlock()
-		if muted {
-			continue
-		}
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-		if _, err = to.Write(buffer[:n]); err != nil {
-			_ = from.Close()
-			return
-		}
-	}
-}
-
-func (l *link) cut() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.muted = false
-	for _, c := range l.conns {
-		_ = c.Close()
-	}
-}
-
-func (l *link) mute() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.muted = true
-}
--- a/internal/inner/loan.go
+++ b/internal/inner/loan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 	end      context.CancelFunc
 	signs    *alive
 	lent     proxy.Lent
-	frontend *pgproto3.Frontend
 	released atomic.Bool
 	// timer ends the stream at the deadline.
 	timer *time.Timer
@@ -43,7 +43,10 @@
 		return &Unreachable{l.peer.address, err}
 	}
 	l.lent = g.Lent
-	l.frontend = pgproto3.NewFrontend(l, l)
+	l.peer.loan = l
+	if l.peer.frontend == nil {
+		l.peer.frontend = pgproto3.NewFrontend(l.peer, l.peer)
+	}
 	return nil
 }
 
@@ -51,7 +54,7 @@
 func (l *loan) Lent() proxy.Lent { return l.lent }
 
 // Frontend implements proxy.Loan.
-func (l *loan) Frontend() *pgproto3.Frontend { return l.frontend }
+func (l *loan) Frontend() *pgproto3.Frontend { return l.peer.frontend }
 
 // SetDeadline ends the loan's stream at t unless it is called again before; zero
 // removes the limit.
@@ -72,20 +75,20 @@
 		if err := l.channel.receive(&l.frame); err != nil {
 			return 0, err
 		}
-		if err := l.data(); err != nil {
+		if err := l.checkData(); err != nil {
 			return 0, err
 		}
+		l.unread = l.frame.payload
 	}
 	n := copy(p, l.unread)
 	l.unread = l.unread[n:]
 	return n, nil
 }
 
-// data keeps the bytes of a received data frame.
-func (l *loan) data() error {
+// checkData returns an error unless the frame received last carries data.
+func (l *loan) checkData() error {
 	switch l.frame.kind {
 	case dataFrame:
-		l.unread = append(l.unread, l.frame.payload...)
 		return nil
 	case refusedFrame:
 		return l.channel.refusal(&l.frame)
@@ -111,6 +114,8 @@
 // Confirm implements proxy.Loan.
 func (l *loan) Confirm(ctx context.Context) (proxy.Bookmark, error) {
 	sent := l.client.Clock.Now()
+	// The frames received below reuse the memory of the one that is being read.
+	l.unread = slices.Clone(l.unread)
 	// Without an answer the state of the stream is unknown, so that it ends.
 	defer context.AfterFunc(ctx, l.end)()
 	if err := l.channel.send(confirmFrame, nil); err != nil {
@@ -123,9 +128,10 @@
 		if l.frame.kind == confirmedFrame {
 			return l.confirmed(sent)
 		}
-		if err := l.data(); err != nil {
+		if err := l.checkData(); err != nil {
 			return proxy.Bookmark{}, fmt.Errorf("confirm: %w", err)
 		}
+		l.unread = append(l.unread, l.frame.payload...)
 	}
 }
 
@@ -158,6 +164,9 @@
 		return
 	}
 	_ = l.SetDeadline(time.Time{})
+	if r.Broken || len(l.unread) > 0 || l.peer.frontend.ReadBufferLen() > 0 {
+		l.peer.frontend = nil
+	}
 	if l.channel.send(releaseFrame, &returned{r}) != nil {
 		l.abandon()
 		return
--- a/internal/inner/pump.go
+++ b/internal/inner/pump.go
@@ -11,7 +11,9 @@
 func (r *relay) pump() {
 	defer r.pumping.Done()
 	defer r.park()
-	buffer := make([]byte, chunkSize)
+	pooled := r.buffers.Get().(*[chunkSize]byte)
+	defer r.buffers.Put(pooled)
+	buffer := pooled[:]
 	f := frame{kind: dataFrame}
 	for r.wait() {
 		n, err := r.conn.Read(buffer)
--- a/internal/inner/relay.go
+++ b/internal/inner/relay.go
@@ -35,7 +35,9 @@
 	loan    Loan
 	conn    net.Conn
 	// validity is how long a confirmation holds.
-	validity   time.Duration
+	validity time.Duration
+	// buffers holds *[chunkSize]byte.
+	buffers    *sync.Pool
 	pumping    sync.WaitGroup
 	cancelling atomic.Bool
 
@@ -55,8 +57,8 @@
 	failed bool
 }
 
-func newRelay(c channel, loan Loan, validity time.Duration) *relay {
-	r := &relay{channel: c, loan: loan, conn: loan.Raw(), validity: validity, parked: true}
+func newRelay(c channel, loan Loan, validity time.Duration, buffers *sync.Pool) *relay {
+	r := &relay{channel: c, loan: loan, conn: loan.Raw(), validity: validity, buffers: buffers, parked: true}
 	r.cond.L = &r.mu
 	return r
 }
--- a/internal/inner/server.go
+++ b/internal/inner/server.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,8 @@
 	Validity time.Duration
 	Logger   zerolog.Logger
 	Metrics  metrics.Registry
+
+	buffers sync.Pool
 }
 
 // Run serves connections of the listener until ctx ends.
@@ -61,6 +64,7 @@
 	if s.Metrics == nil {
 		s.Metrics = metrics.NewRegistry()
 	}
+	s.buffers.New = func() any { return new([chunkSize]byte) }
 	mux := drpcmux.New()
 	if err := mux.Register(s, service{s.Codec}); err != nil {
 		return fmt.Errorf("register the rpcs: %w", err)
@@ -125,5 +129,5 @@
 		loan.Release(proxy.Return{})
 		return err
 	}
-	return newRelay(c, loan, s.Validity).run()
+	return newRelay(c, loan, s.Validity, &s.buffers).run()
 }
