--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -21,8 +21,8 @@
 	instance *Instance
 	pid      uint32
 	secret   []byte
-	pipe     *pipe
-	conn     net.Conn // pipe, or TLS on it
+	client   *clientConn
+	conn     net.Conn // client, or TLS on it
 	backend  *pgproto3.Backend
 	session  *session
 	prepared map[string]*prepared
@@ -56,12 +56,13 @@
 	c.terminated = true
 	c.mu.Unlock()
 	c.interrupt(errTerminated)
-	_ = c.pipe.Close()
+	_ = c.client.Close()
 }
 
 // serve runs the connection until it ends. The transaction that is open then
 // is rolled back.
 func (c *connection) serve() error {
+	defer c.session.engine.AdvisoryUnlockAll(c.session)
 	defer c.session.rollback()
 	for {
 		msg, err := c.backend.Receive()
@@ -79,6 +80,9 @@
 
 // handle answers one message. It returns an error if the connection is broken.
 func (c *connection) handle(msg pgproto3.FrontendMessage) error {
+	if _, ok := msg.(*pgproto3.Sync); c.skipping && !ok {
+		return nil
+	}
 	switch msg := msg.(type) {
 	case *pgproto3.Query:
 		if err := c.fail(c.query(msg.String)); err != nil {
@@ -94,17 +98,11 @@
 		c.skipping = false
 		return c.ready()
 	case *pgproto3.Flush:
-		if c.skipping {
-			return nil
-		}
 		return c.flush()
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		// These follow a COPY that has failed already.
 		return nil
 	}
-	if c.skipping {
-		return nil
-	}
 	return c.fail(c.extended(msg))
 }
 
@@ -234,8 +232,8 @@
 	ctx, done := c.begin()
 	defer done()
 	c.session.ctx = ctx
-	defer c.session.gate.leave()
-	if err := c.session.gate.enter(ctx); err != nil {
+	defer c.session.slots.release()
+	if err := c.session.slots.acquire(ctx); err != nil {
 		return err
 	}
 	suspended, err := c.rows(p, maximum)
--- a/internal/emulator/instance/execution.go
+++ b/internal/emulator/instance/execution.go
@@ -82,23 +82,17 @@
 			return nil, errorf(stateActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
 		}
 		s.resetAll()
+		s.engine.AdvisoryUnlockAll(s)
 		return tagged("DISCARD ALL"), s.deallocate("")
 	case alterSystemStatement:
 		if s.block != blockIdle {
 			return nil, errorf(stateActiveTransaction, "ALTER SYSTEM cannot run inside a transaction block")
 		}
-		s.engine.Follow(stmt.source, false)
-		return tagged("ALTER SYSTEM"), nil
+		return tagged("ALTER SYSTEM"), s.alterSystem(stmt)
 	}
 	return nil, errorf(proxy.InternalInconsistency, "statement %T", stmt)
 }
 
-func (s *session) resetAll() {
-	initial := settings{initial: s.settings.initial, session: s.settings.initial}
-	s.settings = initial.clone()
-	s.settings.local = make(map[string]string)
-}
-
 // once returns a row source with one row.
 func once(row []value) func() ([]value, error) {
 	return listed([][]value{row})
--- a/internal/emulator/instance/functions.go
+++ b/internal/emulator/instance/functions.go
@@ -10,7 +10,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// function is an SQL function that returns null for a null argument.
+// function is an SQL function that returns null for a null argument. run is nil
+// for count(*), which the SELECT computes.
 type function struct {
 	arguments []uint32
 	required  int
@@ -20,7 +21,7 @@
 
 // functions lists the functions by name.
 var functions = map[string]function{
-	"count":                   {nil, 0, pgtype.Int8OID, misplacedCount},
+	"count":                   {nil, 0, pgtype.Int8OID, nil},
 	"repeat":                  {[]uint32{pgtype.TextOID, pgtype.Int4OID}, 2, pgtype.TextOID, repeat},
 	"length":                  {[]uint32{pgtype.TextOID}, 1, pgtype.Int4OID, length},
 	"pg_sleep":                {[]uint32{pgtype.Float8OID}, 1, oidVoid, sleep},
@@ -33,14 +34,12 @@
 	"pg_last_wal_replay_lsn":  {nil, 0, oidLSN, replayedPosition},
 	"pg_wal_lsn_diff":         {[]uint32{oidLSN, oidLSN}, 2, pgtype.Int8OID, positionDifference},
 	"pg_promote":              {[]uint32{pgtype.BoolOID, pgtype.Int4OID}, 0, pgtype.BoolOID, promote},
+	"pg_advisory_lock":        {[]uint32{pgtype.Int8OID}, 1, oidVoid, advisoryLock},
+	"pg_advisory_unlock":      {[]uint32{pgtype.Int8OID}, 1, pgtype.BoolOID, advisoryUnlock},
 	"pg_reload_conf":          {nil, 0, pgtype.BoolOID, reload},
 	"version":                 {nil, 0, pgtype.TextOID, version},
 }
 
-func misplacedCount(*session, []value) (value, error) {
-	return value{}, errorf(proxy.FeatureNotSupported, "count(*) must be the only result column")
-}
-
 // maxText is PostgreSQL's limit on a value, in bytes.
 const maxText = 1 << 30
 
--- a/internal/emulator/instance/parser_query.go
+++ b/internal/emulator/instance/parser_query.go
@@ -59,8 +59,11 @@
 	if s.locking && s.source.kind != sourceTable {
 		panic(errorf(proxy.FeatureNotSupported, "FOR UPDATE needs the table %s", tableName))
 	}
-	if s.order != nil && s.source.kind == sourceSeries {
-		panic(errorf(proxy.FeatureNotSupported, "ORDER BY needs the table %s", tableName))
+	if s.order == nil {
+		return
+	}
+	if _, ok := s.order.by.(literal); ok || s.source.kind == sourceSeries {
+		panic(errorf(proxy.FeatureNotSupported, "ORDER BY needs an expression on the table %s", tableName))
 	}
 }
 
@@ -87,6 +90,8 @@
 		p.wantSymbol("(")
 		p.wantSymbol(")")
 		return source{kind: sourceCheckpoint}
+	case p.words("pg_stat_wal_receiver"):
+		return source{kind: sourceReceiver}
 	}
 	p.table()
 	return source{kind: sourceTable}
--- a/internal/emulator/instance/selection.go
+++ b/internal/emulator/instance/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 
 	"github.com/jackc/pgx/v5/pgtype"
@@ -19,14 +20,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if isCount(stmt.targets) {
-		n, err := count(advance)
-		if err != nil {
+	if isAggregate(stmt.targets) {
+		if sc.count, err = count(advance); err != nil {
 			return nil, err
 		}
 		advance = counter(1)
-		sc.number = intValue(n)
-		stmt = &selectStatement{targets: []target{{value: literal{sc.number}}}}
 	}
 	return func() ([]value, error) {
 		for ; offset > 0; offset-- {
@@ -45,12 +43,35 @@
 	}, nil
 }
 
-// isCount reports the target list count(*).
-func isCount(targets []target) bool {
-	c, ok := targets[0].value.(call)
-	return ok && len(targets) == 1 && c.name == "count"
+// isAggregate reports a target list that contains count(*).
+func isAggregate(targets []target) bool {
+	for _, t := range targets {
+		if hasCount(t.value) {
+			return true
+		}
+	}
+	return false
 }
 
+func hasCount(e expression) bool {
+	switch e := e.(type) {
+	case call:
+		return e.name == "count" || slices.ContainsFunc(e.arguments, hasCount)
+	case cast:
+		return hasCount(e.operand)
+	case prefix:
+		return hasCount(e.operand)
+	case operation:
+		return hasCount(e.left) || hasCount(e.right)
+	case inList:
+		return hasCount(e.operand) || slices.ContainsFunc(e.list, hasCount)
+	case isNull:
+		return hasCount(e.operand)
+	}
+	return false
+}
+
+// count returns the number of rows.
 func count(advance func() (bool, error)) (int64, error) {
 	for n := int64(0); ; n++ {
 		ok, err := advance()
@@ -99,8 +120,15 @@
 	case sourceTable:
 		return s.table(stmt, sc)
 	}
-	timeline := intValue(int64(s.engine.State().Timeline))
-	sc.number = value{oid: pgtype.Int4OID, text: timeline.text}
+	if stmt.source.kind == sourceReceiver {
+		if !s.engine.State().Streaming {
+			return counter(0), nil
+		}
+		sc.number = textValue("streaming")
+	} else {
+		timeline := intValue(int64(s.engine.State().Timeline))
+		sc.number = value{oid: pgtype.Int4OID, text: timeline.text}
+	}
 	ok, err := sc.holds(stmt.where)
 	if !ok {
 		return counter(0), err
@@ -231,10 +259,10 @@
 	return rows, nil
 }
 
-// candidates returns the row with the key that the condition demands, or all
-// rows if it demands no single key.
+// candidates returns the row with the key that the condition requires, or all
+// rows if it requires no single key.
 func (s *session) candidates(where expression, sc *scope) ([]Row, error) {
-	e := demandedKey(where)
+	e := requiredKey(where)
 	if e == nil {
 		return s.engine.Scan(s.tx), nil
 	}
@@ -249,18 +277,18 @@
 	return []Row{{key.text, text}}, nil
 }
 
-// demandedKey returns the literal or parameter that a condition requires the
+// requiredKey returns the literal or parameter that a condition requires the
 // key to be equal to, nil if there is none.
-func demandedKey(where expression) expression {
+func requiredKey(where expression) expression {
 	o, ok := where.(operation)
 	if !ok {
 		return nil
 	}
 	if o.operator == "and" {
-		if e := demandedKey(o.left); e != nil {
+		if e := requiredKey(o.left); e != nil {
 			return e
 		}
-		return demandedKey(o.right)
+		return requiredKey(o.right)
 	}
 	if c, ok := o.left.(column); !ok || c.name != "key" || o.operator != "=" {
 		return nil
--- a/internal/emulator/instance/statement.go
+++ b/internal/emulator/instance/statement.go
@@ -49,7 +49,7 @@
 	showStatement           struct{ name string }
 	discardStatement        struct{}
 	deallocateStatement     struct{ name string } // empty for ALL
-	alterSystemStatement    struct{ source string }
+	alterSystemStatement    struct{ name, value string }
 	copyStatement           struct {
 		columns []string
 		query   *selectStatement // for COPY ... TO
@@ -77,6 +77,7 @@
 	sourceTable
 	sourceSeries
 	sourceCheckpoint
+	sourceReceiver
 )
 
 // source is what a SELECT reads. alias names the series' column.
