--- a/pkg/proxy/promotion/alarm.go
+++ b/pkg/proxy/promotion/alarm.go
@@ -54,13 +54,14 @@
 	}
 }
 
-// reached returns the highest position that Confirmations replicas which follow
-// the term had received when they last answered.
+// reached returns the highest position that Confirmations replicas of the term
+// had received when they last answered. Those that have left it count as well,
+// so that the alarm does not end when they are told to leave.
 func (g *group) reached() proxy.Position {
 	positions := make([]proxy.Position, 0, MaxMembers)
 	for _, m := range g.object.Members {
 		v := g.views[m]
-		if v != nil && g.object.Replica(m) && v.good.Mark.Follows(g.object.Term) {
+		if v != nil && g.object.Replica(m) && v.good.Mark.Term == g.object.Term {
 			positions = append(positions, v.good.Received)
 		}
 	}
@@ -90,7 +91,13 @@
 	if g.alarm.mark == 0 || s.now.Sub(g.alarm.markAt) < s.timing.StallAfter {
 		return Working
 	}
-	if g.eligible(g.replicas(s)) < g.object.Departures() {
+	observed := g.replicas(s)
+	if g.eligible(observed) < g.object.Departures() {
+		return Uncertain
+	}
+	if g.attempt == nil && g.vacated(observed) {
+		// The replicas receive nothing because they have left the term; a
+		// renewal is due.
 		return Uncertain
 	}
 	return Failed
--- /dev/null
+++ b/pkg/proxy/promotion/bench_test.go
@@ -0,0 +1,64 @@
+package promotion_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
+)
+
+// steady returns a host's machine of a group that works and its observations.
+func steady(b *testing.B) (*host, []promotion.Observed) {
+	b.Helper()
+	w := newWorld(1, 4, 3, 0)
+	w.run(warmUp)
+	h := w.hosts[0]
+	var all []promotion.Observed
+	for _, i := range w.instances {
+		o := i.observation()
+		o.Group, o.Instance = simulated, i.id
+		all = append(all, o)
+	}
+	return h, all
+}
+
+// BenchmarkObserved measures one probe result of a group that works.
+func BenchmarkObserved(b *testing.B) {
+	h, all := steady(b)
+	now := h.clock()
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Millisecond)
+		o := all[n%len(all)]
+		o.Sent = now
+		h.machine.Handle(now, o)
+	}
+}
+
+// BenchmarkTick measures a tick of a host with one group that works.
+func BenchmarkTick(b *testing.B) {
+	h, _ := steady(b)
+	now := h.clock()
+	b.ReportAllocs()
+	for b.Loop() {
+		h.machine.Handle(now, proxy.Tick{})
+	}
+}
+
+// BenchmarkAcknowledge measures the check before a reply.
+func BenchmarkAcknowledge(b *testing.B) {
+	h, all := steady(b)
+	now := h.clock()
+	for _, o := range all {
+		o.Sent = now
+		h.machine.Handle(now, o)
+	}
+	at := proxy.Bookmark{Term: 1, Position: all[1].Received}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := h.machine.Acknowledge(now, simulated, "i0", at); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/proxy/promotion/elect.go
+++ b/pkg/proxy/promotion/elect.go
@@ -152,11 +152,15 @@
 	}
 }
 
+// vacated reports whether a replica will never follow the term again.
+func (g *group) vacated(observed []*Observed) bool {
+	return slices.ContainsFunc(observed, func(o *Observed) bool { return o.Mark.Left >= g.object.Term })
+}
+
 // renew starts a new term with the same primary if a replica has left the term
 // and no promotion followed, since that replica can confirm nothing until then.
 func (g *group) renew(s *step) {
-	left := slices.ContainsFunc(g.replicas(s), func(o *Observed) bool { return o.Mark.Left >= g.object.Term })
-	if !left || g.attempt != nil || g.put != nil || g.primary(s) == nil {
+	if g.attempt != nil || g.put != nil || g.primary(s) == nil || !g.vacated(g.replicas(s)) {
 		g.abandoned = 0
 		return
 	}
--- a/pkg/proxy/promotion/event.go
+++ b/pkg/proxy/promotion/event.go
@@ -67,7 +67,9 @@
 	}
 )
 
-// The effects of this package.
+// The effects of this package. Detach, Follow and Promote are orders to an
+// instance: the caller probes the instance when the order has returned, and
+// reports the observation with Sent before the order was sent.
 type (
 	// Probe asks for an observation at once, with a fresh connection if Fresh.
 	Probe struct {
--- a/pkg/proxy/promotion/group.go
+++ b/pkg/proxy/promotion/group.go
@@ -197,7 +197,6 @@
 	v.ordered = e
 	v.orderedAt = s.now
 	s.emit(e)
-	s.emit(Probe{Group: g.id, Instance: instance})
 }
 
 // advance takes every decision that is due.
--- a/pkg/proxy/promotion/timing.go
+++ b/pkg/proxy/promotion/timing.go
@@ -52,7 +52,7 @@
 		Lease:        240 * time.Millisecond,
 		Recent:       500 * time.Millisecond,
 		FailAfter:    500 * time.Millisecond,
-		StallAfter:   1500 * time.Millisecond,
+		StallAfter:   1200 * time.Millisecond,
 		LeadWithin:   3 * time.Second,
 		AskFor:       100 * time.Millisecond,
 		ViewFor:      time.Second,
--- a/pkg/proxy/promotion/world_test.go
+++ b/pkg/proxy/promotion/world_test.go
@@ -42,6 +42,8 @@
 // stats counts what happened, to show that a run exercised what it tests.
 type stats struct {
 	writes, acks, refused, doubts, promotions, rewinds int
+	// given counts the writes that got no answer within ackPatience.
+	given int
 }
 
 // link is one direction between two parties.
