--- a/internal/pool/group_test.go
+++ b/internal/pool/group_test.go
@@ -100,6 +100,7 @@
 func reading(after proxy.Bookmark) proxy.Ask {
 	a := ask(1)
 	a.Access = proxy.Read
+	a.Covered = true
 	a.After = after
 	return a
 }
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -40,10 +40,9 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
-		if ask.Access == proxy.Write {
-			if err := p.awaitReady(ctx, ask.Group); err != nil {
-				return nil, err
-			}
+		ask, err := p.admit(ctx, ask)
+		if err != nil {
+			return nil, err
 		}
 		i, lent, err := p.choose(ctx, ask)
 		if err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,6 +50,9 @@
 	// one has answered or ctx ends. Without it a write that replicas have not
 	// confirmed is not acknowledged.
 	Await func(context.Context, proxy.GroupID)
+	// Bound returns a log position of the group's primary that was read after
+	// the call. Without it reads that need a bound go to the primary.
+	Bound func(context.Context, proxy.GroupID, proxy.InstanceID) (proxy.Position, error)
 	// Writing is called when the number of write loans of a group changes and
 	// may be nil.
 	Writing func(proxy.GroupID, int)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -52,6 +53,7 @@
 	watches map[key]*watch
 	// rounds are closed and replaced when a replica of the group was observed.
 	rounds map[proxy.GroupID]chan struct{}
+	last   map[key]promotion.Observed
 }
 
 // key identifies an instance over all groups.
@@ -105,6 +107,7 @@
 	if s.watches == nil {
 		s.watches = make(map[key]*watch)
 		s.rounds = make(map[proxy.GroupID]chan struct{})
+		s.last = make(map[key]promotion.Observed)
 	}
 	for k, w := range s.watches {
 		if next := wanted[k]; next == nil || next.address != w.address {
@@ -199,8 +202,27 @@
 	s.Observed(o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.last[key{o.Group, o.Instance}] = o
 	if round := s.rounds[o.Group]; round != nil {
 		close(round)
 		delete(s.rounds, o.Group)
 	}
 }
+
+// Bound returns a log position of the instance that was read after the call. It
+// covers everything that the instance had committed before the call.
+func (s *Supervisor) Bound(ctx context.Context, group proxy.GroupID, instance proxy.InstanceID) (proxy.Position, error) {
+	called := s.Clock.Now()
+	for {
+		s.mu.Lock()
+		o := s.last[key{group, instance}]
+		s.mu.Unlock()
+		if o.Reachable && !o.Recovery && o.Sent >= called {
+			return o.Current, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return 0, fmt.Errorf("position of %s: %w", instance, err)
+		}
+		s.Await(ctx, group)
+	}
+}
--- a/pkg/proxy/lender.go
+++ b/pkg/proxy/lender.go
@@ -27,6 +27,9 @@
 	Access  Access    `cbor:"4,keyasint"`
 	// After is the oldest history that a read may see.
 	After Bookmark `cbor:"5,keyasint"`
+	// Covered reports that After covers every write of the session, so that the
+	// pool need not look for a newer bound.
+	Covered bool `cbor:"12,keyasint,omitempty"`
 	// Age is the staleness that a read accepts on top of After; zero accepts none.
 	Age time.Duration `cbor:"6,keyasint"`
 	// Priority is higher for more urgent requests; zero is the default.
