--- a/cmd/emulated-platform/main.go
+++ b/cmd/emulated-platform/main.go
@@ -23,7 +23,7 @@
 
 type options struct {
 	Listen string   `long:"listen" default:"127.0.0.1:17000" description:"address of the HTTP listener, host:port"`
-	Hosts  []string `long:"host" description:"host to put on the list of hosts, as NAME,ZONE,ADDRESS; may be repeated"`
+	Hosts  []string `long:"host" description:"host to put on the list of hosts, as ENVIRONMENT/STAGE/NAME,ZONE,ADDRESS; may be repeated"`
 }
 
 func main() {
@@ -73,10 +73,11 @@
 func publish(store proxy.Store, hosts []string) error {
 	for _, text := range hosts {
 		fields := strings.Split(text, ",")
-		if len(fields) != 3 {
-			return fmt.Errorf("%q: want NAME,ZONE,ADDRESS", text)
+		path := strings.Split(fields[0], "/")
+		if len(fields) != 3 || len(path) != 3 {
+			return fmt.Errorf("%q: want ENVIRONMENT/STAGE/NAME,ZONE,ADDRESS", text)
 		}
-		state := proxy.HostState{ID: proxy.HostID(fields[0]), Zone: proxy.Zone(fields[1]), Address: fields[2]}
+		state := proxy.HostState{ID: proxy.HostID(path[2]), Zone: proxy.Zone(fields[1]), Address: fields[2]}
 		if err := state.Validate(); err != nil {
 			return fmt.Errorf("%q: %w", text, err)
 		}
@@ -84,7 +85,7 @@
 		if err != nil {
 			return fmt.Errorf("encode host: %w", err)
 		}
-		key := proxy.HostPrefix + proxy.Key(state.ID)
+		key := proxy.HostPrefix(proxy.EnvironmentID(path[0]), proxy.Stage(path[1])) + proxy.Key(state.ID)
 		if _, err := store.Put(context.Background(), key, value, 0); err != nil {
 			return fmt.Errorf("put host %s: %w", state.ID, err)
 		}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -99,7 +99,9 @@
 	h.configuration = &configuration.Table{
 		Host: h.self, Key: environment.DocumentKey(h.settings.Environment, h.settings.Stage), Decode: h.decode,
 	}
-	h.members = &member.Table{Self: h.self}
+	h.members = &member.Table{
+		Self: h.self, Prefix: proxy.HostPrefix(h.settings.Environment, h.settings.Stage),
+	}
 	h.driver = &Driver{
 		Clock: h.clock, Store: h.store, Send: h.send, Own: h.own, Log: h.log,
 		Random: rand.New(rand.NewPCG(uint64(h.self.Incarnation), uint64(os.Getpid()))),
--- a/pkg/proxy/member/probe.go
+++ b/pkg/proxy/member/probe.go
@@ -12,7 +12,7 @@
 	var effects []proxy.Effect
 	if t.listed == 0 || now.Sub(t.listed) >= t.Refresh {
 		t.listed = now
-		effects = append(effects, proxy.List{Prefix: proxy.HostPrefix})
+		effects = append(effects, proxy.List{Prefix: t.Prefix})
 	}
 	effects = append(effects, t.checkProbes(now, random)...)
 	if t.pinged == 0 || now.Sub(t.pinged) >= t.Period {
--- a/pkg/proxy/member/table.go
+++ b/pkg/proxy/member/table.go
@@ -84,7 +84,9 @@
 // Table is the membership as one host sees it. Exported fields are set before
 // the first event. It implements proxy.Module.
 type Table struct {
-	Self      proxy.HostState
+	Self proxy.HostState
+	// Prefix is that of the platform's list of hosts.
+	Prefix    proxy.Key
 	Period    time.Duration
 	Timeout   time.Duration
 	Suspicion time.Duration
@@ -187,7 +189,7 @@
 
 // list takes the platform's list of hosts.
 func (t *Table) list(now proxy.Instant, e proxy.Listed) []proxy.Effect {
-	if e.Err != nil || e.Prefix != proxy.HostPrefix {
+	if e.Err != nil || e.Prefix != t.Prefix {
 		return nil
 	}
 	for _, known := range t.entries {
--- a/pkg/proxy/member/table_test.go
+++ b/pkg/proxy/member/table_test.go
@@ -12,7 +12,10 @@
 	"github.com/matryer/is"
 )
 
-const step = 50 * time.Millisecond
+const (
+	step   = 50 * time.Millisecond
+	prefix = proxy.Key("hosts/")
+)
 
 // fleet drives several tables over a network with loss, in virtual time.
 type fleet struct {
@@ -42,7 +45,7 @@
 		state := proxy.HostState{ID: id, Zone: "gondar", Address: fmt.Sprintf("127.0.0.1:%d", 7000+i), Incarnation: 10}
 		states = append(states, state)
 		f.order = append(f.order, id)
-		f.tables[id] = &member.Table{Self: state}
+		f.tables[id] = &member.Table{Self: state, Prefix: prefix}
 	}
 	for _, id := range f.order {
 		f.tables[id].Handle(f.now, member.Seed{Hosts: states})
@@ -137,10 +140,10 @@
 	var objects []proxy.Object
 	for i, id := range f.order {
 		value := fmt.Sprintf(`{"id":%q,"zone":"gondar","address":"127.0.0.1:%d"}`, id, 7000+i)
-		objects = append(objects, proxy.Object{Key: proxy.HostPrefix + proxy.Key(id), Value: []byte(value), Version: 1})
+		objects = append(objects, proxy.Object{Key: prefix + proxy.Key(id), Value: []byte(value), Version: 1})
 	}
 	for _, id := range f.order {
-		f.tables[id].Handle(f.now, proxy.Listed{Prefix: proxy.HostPrefix, Objects: objects})
+		f.tables[id].Handle(f.now, proxy.Listed{Prefix: prefix, Objects: objects})
 	}
 }
 
@@ -150,7 +153,7 @@
 	f := newFleet(6, 1)
 	f.run(3 * time.Second)
 	state := proxy.HostState{ID: "host-02", Zone: "gondar", Address: "127.0.0.1:7102", Incarnation: 11}
-	f.tables["host-02"] = &member.Table{Self: state}
+	f.tables["host-02"] = &member.Table{Self: state, Prefix: prefix}
 	f.tables["host-02"].Handle(f.now, member.Seed{Hosts: []proxy.HostState{{ID: "host-00", Zone: "gondar", Address: "127.0.0.1:7000"}}})
 	f.run(10 * time.Second)
 	for _, id := range f.order {
--- a/pkg/proxy/module.go
+++ b/pkg/proxy/module.go
@@ -83,9 +83,11 @@
 	}
 )
 
-// HostPrefix is the prefix of the platform's list of hosts. Each object is a
-// HostState in JSON.
-const HostPrefix Key = "hosts/"
+// HostPrefix is the prefix of the platform's list of the hosts that serve a
+// stage of an environment. Each object is a HostState in JSON.
+func HostPrefix(environment EnvironmentID, stage Stage) Key {
+	return Key("environments/" + string(environment) + "/" + string(stage) + "/hosts/")
+}
 
 // HostState is a host as the platform's list or the hosts' own membership
 // shows it.
