--- a/pkg/proxy/environment/decode.go
+++ b/pkg/proxy/environment/decode.go
@@ -1,6 +1,7 @@
 package environment
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"unicode/utf8"
@@ -47,6 +48,8 @@
 	if problem := checkText(text); problem != nil {
 		return nil, Problems{*problem}
 	}
+	// The parser counts a line break of two characters after a comment as two.
+	text = bytes.ReplaceAll(text, []byte("\r\n"), []byte("\n"))
 	if problems := scan(text); len(problems) > 0 {
 		return nil, problems
 	}
@@ -85,7 +88,8 @@
 		case r == utf8.RuneError && size == 1:
 			at.Value, at.Want = fmt.Sprintf("byte 0x%02x", text[i]), "UTF-8"
 			return &at
-		case r < ' ' && r != '\n' && r != '\r' && r != '\t', r == 0x7f:
+		case r == '\r' && bytes.HasPrefix(text[i:], []byte("\r\n")):
+		case r < ' ' && r != '\n' && r != '\t', r == 0x7f:
 			at.Value, at.Want = fmt.Sprintf("control character 0x%02x", r), "printable text"
 			return &at
 		case r == '\n':
--- a/pkg/proxy/environment/reader.go
+++ b/pkg/proxy/environment/reader.go
@@ -132,9 +132,13 @@
 func (r *reader) scalar(path string, node ast.Node, target reflect.Value) {
 	switch target.Kind() {
 	case reflect.String:
-		if text, ok := node.(*ast.StringNode); ok {
+		switch text := node.(type) {
+		case *ast.StringNode:
 			target.SetString(text.Value)
 			return
+		case *ast.LiteralNode:
+			target.SetString(text.Value.Value)
+			return
 		}
 		r.fail(path, node, describe(path, node), "text")
 	case reflect.Bool:
