--- /dev/null
+++ b/pkg/proxy/environment/status_test.go
@@ -0,0 +1,102 @@
+package environment_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+)
+
+// Guards against a revision that counts as in force although a live host lags,
+// and against waits for hosts that are leaving, gone or of the other stage.
+func TestProgress(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newMemory()
+	digest, other := environment.DigestOf([]byte("a")), environment.DigestOf([]byte("b"))
+	put := func(key proxy.Key, value any) {
+		text, err := json.Marshal(value)
+		is.NoErr(err)
+		_, err = store.Put(ctx, key, text, 0)
+		is.NoErr(err)
+	}
+	list := func(id proxy.HostID, leaving bool) {
+		put(environment.HostPrefix+proxy.Key(id), proxy.HostState{ID: id, Zone: "z", Address: "127.0.0.1:1", Incarnation: 7, Leaving: leaving})
+	}
+	report := func(id proxy.HostID, stage proxy.Stage, incarnation proxy.Incarnation, revision proxy.Revision, digest environment.Digest) {
+		put(environment.StatusKey("demo", stage, id), environment.HostStatus{
+			Host: id, Zone: "z", Address: "127.0.0.1:1", Incarnation: incarnation, Revision: revision, Digest: digest, Time: noon,
+		})
+	}
+	for _, id := range []proxy.HostID{"current", "newer", "older", "none", "altered", "restarted", "silent", "elsewhere"} {
+		list(id, false)
+	}
+	list("leaving", true)
+	report("current", proxy.Trial, 7, 5, digest)
+	report("newer", proxy.Trial, 7, 6, other)
+	report("older", proxy.Trial, 7, 4, other)
+	report("none", proxy.Trial, 7, 0, "")
+	report("altered", proxy.Trial, 7, 5, other)
+	report("restarted", proxy.Trial, 6, 5, digest)
+	report("leaving", proxy.Trial, 7, 4, other)
+	report("gone", proxy.Trial, 7, 4, other)
+	report("elsewhere", proxy.Production, 7, 5, digest)
+	put(environment.HostPrefix+"damaged", "text")
+	put(environment.StatusKey("demo", proxy.Trial, "misplaced"), "text")
+
+	progress, err := environment.ReadProgress(ctx, store, "demo", proxy.Trial, 5, digest)
+	is.NoErr(err)
+	conditions := map[proxy.HostID]environment.HostCondition{}
+	for _, host := range progress.Hosts {
+		conditions[host.Host] = host.Condition
+	}
+	is.Equal(conditions, map[proxy.HostID]environment.HostCondition{
+		"current":   environment.InForce,
+		"newer":     environment.InForce,
+		"older":     environment.Behind,
+		"none":      environment.Behind,
+		"altered":   environment.Behind,
+		"restarted": environment.Silent,
+		"silent":    environment.Silent,
+		"damaged":   environment.Unreadable,
+		"leaving":   environment.Leaving,
+		"gone":      environment.Unlisted,
+		"misplaced": environment.Unlisted,
+	})
+	is.Equal(progress.Live, 8)
+	is.Equal(progress.Ready, 2)
+	is.True(!progress.Everywhere())
+	is.True(!(&environment.Progress{}).Everywhere()) // no live host
+}
+
+// Guards against hosts whose status nobody can read.
+func TestHostStatusValidate(t *testing.T) {
+	is := is.New(t)
+	valid := environment.HostStatus{Host: "a", Zone: "z", Address: "127.0.0.1:1", Incarnation: 1, Time: noon}
+	value, err := environment.EncodeStatus(&valid)
+	is.NoErr(err)
+	decoded, err := environment.DecodeStatus(value)
+	is.NoErr(err)
+	is.Equal(*decoded, valid)
+	damages := []func(*environment.HostStatus){
+		func(s *environment.HostStatus) { s.Host = "A" },
+		func(s *environment.HostStatus) { s.Zone = "" },
+		func(s *environment.HostStatus) { s.Address = "host:1" },
+		func(s *environment.HostStatus) { s.Incarnation = 0 },
+		func(s *environment.HostStatus) { s.Revision = 1 },
+		func(s *environment.HostStatus) { s.Digest = environment.DigestOf(nil) },
+		func(s *environment.HostStatus) { s.Revision, s.Digest = 1, "x" },
+		func(s *environment.HostStatus) { s.Time = time.Time{} },
+	}
+	for _, damage := range damages {
+		damaged := valid
+		damage(&damaged)
+		_, err := environment.EncodeStatus(&damaged)
+		is.True(err != nil)
+	}
+}
