--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -13,6 +13,7 @@
 	s.active = true
 	s.erred = false
 	s.begins = false
+	s.commits = false
 	s.flushed = false
 	s.startTimer()
 }
@@ -31,19 +32,30 @@
 // has been sent.
 func (s *session) examine(statements []statement.Statement) *proxy.Refusal {
 	sets := 0
+	committed, open := false, false
 	for _, one := range statements {
 		switch one.Kind {
 		case statement.Refused:
-			return proxy.Refuse(proxy.FeatureNotSupported, "%s is not supported through the proxy: it would stay on the connection", one.Reason)
+			return proxy.Refuse(proxy.FeatureNotSupported, "%s is not supported through the proxy", one.Reason)
 		case statement.Set:
 			sets++
 		case statement.Begin:
 			s.begins = true
+			open = true
+		case statement.Commit:
+			committed = true
+			open = false
+		case statement.Rollback:
+			open = false
 		}
 		if refusal := s.examineAccess(one); refusal != nil {
 			return refusal
 		}
 	}
+	if committed && open {
+		return proxy.Refuse(proxy.FeatureNotSupported,
+			"COMMIT and the beginning of another transaction in one query are not supported through the proxy: the commit could not be confirmed")
+	}
 	if sets > 0 && len(s.state.set)+len(s.state.changes)+sets > s.server.Limits.Settings {
 		return proxy.Refuse(proxy.ConfigurationLimit, "too many settings: at most %d", s.server.Limits.Settings)
 	}
--- a/internal/front/copy.go
+++ b/internal/front/copy.go
@@ -27,6 +27,9 @@
 		}
 		size, last := s.copyMessage(message)
 		unsent += size
+		if last && !s.endsWithReady() {
+			s.loan.frontend.Send(&pgproto3.Flush{})
+		}
 		if last || unsent >= outputSize {
 			unsent = 0
 			if err := s.push(); err != nil {
--- a/internal/front/extended.go
+++ b/internal/front/extended.go
@@ -108,10 +108,20 @@
 	if err := s.admit(statements); err != nil {
 		return s.failBatch(err)
 	}
+	if s.commits {
+		// The COMMIT is confirmed before anything follows it.
+		if err := s.flushBatch(); err != nil || s.skipping {
+			return err
+		}
+		s.commits = false
+	}
+	s.commits = slices.ContainsFunc(statements, isCommitStatement)
 	s.server.metrics.statements.Inc(1)
 	return s.stage(m, request{kind: askExecute, name: m.Portal, statements: statements})
 }
 
+func isCommitStatement(one statement.Statement) bool { return one.Kind == statement.Commit }
+
 // flushBatch sends what the batch holds and relays the replies.
 func (s *session) flushBatch() error {
 	if s.batch.empty() {
--- a/internal/front/failure.go
+++ b/internal/front/failure.go
@@ -47,10 +47,7 @@
 	if head.kind == askFailure || s.muted {
 		return nil
 	}
-	if err := s.passHeld(); err != nil || s.muted {
-		return err
-	}
-	return s.out.send(m)
+	return s.pass(m)
 }
 
 func isFatal(m *pgproto3.ErrorResponse) bool {
--- a/internal/front/loan.go
+++ b/internal/front/loan.go
@@ -111,7 +111,7 @@
 // release gives an idle connection back. A connection that is not idle is
 // closed instead, and the violation is reported.
 func (s *session) release() {
-	idle := s.status == statusIdle && len(s.queue) == 0 && len(s.held) == 0
+	idle := s.status == statusIdle && len(s.queue) == 0 && s.held.empty()
 	if !idle {
 		s.violated("loan released in transaction state %q with %d open requests", s.status, len(s.queue))
 	}
@@ -158,7 +158,7 @@
 	s.mu.Unlock()
 	s.status = statusIdle
 	s.queue = nil
-	s.held = nil
+	s.held = held{}
 	s.state.abandon()
 }
 
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -40,6 +40,21 @@
 	return o.flush()
 }
 
+// sendRaw adds encoded messages.
+func (o *output) sendRaw(encoded []byte) error {
+	if len(encoded) == 0 {
+		return nil
+	}
+	if o.buffer == nil {
+		o.buffer = buffers.Get().(*[]byte)
+	}
+	*o.buffer = append(*o.buffer, encoded...)
+	if len(*o.buffer) < outputSize {
+		return nil
+	}
+	return o.flush()
+}
+
 // flush writes everything to the client and gives the buffer back.
 func (o *output) flush() error {
 	if o.buffer == nil {
--- a/internal/front/restore.go
+++ b/internal/front/restore.go
@@ -31,6 +31,7 @@
 	}
 	plain := s.state.version == 0 && !s.state.used
 	if known != nil && known.version == s.state.version && known.readOnly == readOnly {
+		delete(known.parsed, "") // a statement of the pool may have dropped it
 		loan.state = known
 		return nil
 	}
@@ -38,6 +39,7 @@
 	var texts []string
 	switch {
 	case known != nil:
+		delete(known.parsed, "")
 		loan.state.parsed = known.parsed
 		texts = append(texts, resetSettings)
 	case loan.lent.Same && plain:
--- a/internal/front/scram.go
+++ b/internal/front/scram.go
@@ -3,13 +3,9 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"encoding/base64"
 	"fmt"
-	"strconv"
-	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/rotisserie/eris"
 	"github.com/xdg-go/scram"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -24,38 +20,17 @@
 	mockIterations = 4096
 )
 
-// parseVerifier reads PostgreSQL's text form of a verifier. Errors do not
-// contain any part of it.
-func parseVerifier(text string) (scram.StoredCredentials, error) {
-	var stored scram.StoredCredentials
-	fields := strings.Split(text, "$")
-	if len(fields) != 3 || fields[0] != mechanism {
-		return stored, eris.New("verifier: want " + mechanism + "$iterations:salt$stored:server")
-	}
-	iterations, salt, ok := strings.Cut(fields[1], ":")
-	if !ok {
-		return stored, eris.New("verifier: no salt")
-	}
-	var err error
-	if stored.Iters, err = strconv.Atoi(iterations); err != nil || stored.Iters < 1 {
-		return stored, eris.New("verifier: iterations: want a positive number")
-	}
-	decoded, err := base64.StdEncoding.DecodeString(salt)
+// credentials reads a stored verifier. Errors do not contain any part of it.
+func credentials(verifier string) (scram.StoredCredentials, error) {
+	v, err := proxy.ParseVerifier(verifier)
 	if err != nil {
-		return stored, eris.New("verifier: salt is not base64")
-	}
-	stored.Salt = string(decoded)
-	storedKey, serverKey, ok := strings.Cut(fields[2], ":")
-	if !ok {
-		return stored, eris.New("verifier: no server key")
-	}
-	if stored.StoredKey, err = base64.StdEncoding.DecodeString(storedKey); err != nil || len(stored.StoredKey) != sha256.Size {
-		return stored, eris.New("verifier: stored key: want 32 bytes in base64")
+		return scram.StoredCredentials{}, fmt.Errorf("verifier: %w", err)
 	}
-	if stored.ServerKey, err = base64.StdEncoding.DecodeString(serverKey); err != nil || len(stored.ServerKey) != sha256.Size {
-		return stored, eris.New("verifier: server key: want 32 bytes in base64")
-	}
-	return stored, nil
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(v.Salt), Iters: v.Iterations},
+		StoredKey:  v.Stored,
+		ServerKey:  v.Server,
+	}, nil
 }
 
 // mockCredentials are credentials that no key matches. They are the same at
@@ -80,7 +55,7 @@
 func usualIterations(document *proxy.Document) int {
 	for _, account := range document.Accounts {
 		for _, key := range account.Keys {
-			if stored, err := parseVerifier(key.Verifier); err == nil {
+			if stored, err := credentials(key.Verifier); err == nil {
 				return stored.Iters
 			}
 		}
@@ -92,17 +67,17 @@
 // wrong key are refused alike.
 func (s *Server) authenticate(backend *pgproto3.Backend, document *proxy.Document, who identity, known bool) error {
 	refusal := proxy.Refuse(proxy.InvalidPassword, "authentication failed for account key %q", string(who.key))
-	credentials := s.mockCredentials(document, who.key)
+	expected := s.mockCredentials(document, who.key)
 	if known {
-		stored, err := parseVerifier(who.verifier)
+		stored, err := credentials(who.verifier)
 		if err != nil {
 			s.Logger.Error().Err(err).Str("key", string(who.key)).Msg("account key has no usable verifier")
 			known = false
 		} else {
-			credentials = stored
+			expected = stored
 		}
 	}
-	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return credentials, nil })
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return expected, nil })
 	if err != nil {
 		return fmt.Errorf("SCRAM server: %w", err)
 	}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -209,3 +210,11 @@
 	is.Equal(w.instance.broken(), 0)
 	is.Equal(w.instance.ask(0).Access, proxy.Write)
 }
+
+// allocated returns the live heap in bytes.
+func allocated() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -55,11 +55,12 @@
 	status   byte
 	out      output
 	queue    []request // sent to the instance and not yet answered
-	held     []pgproto3.BackendMessage
+	held     held
 	batch    batch
 	muted    bool // replies are not for the client until ReadyForQuery
 	skipping bool // until Sync, after an error
 	erred    bool // the current request or batch had an error
+	commits  bool // the current batch contains COMMIT
 	begins   bool // the current request or batch contains BEGIN
 	active   bool // a request or batch has begun
 	flushed  bool // bytes of the current request or batch were sent
--- a/internal/statement/refusal.go
+++ b/internal/statement/refusal.go
@@ -11,8 +11,8 @@
 	"pg_try_advisory_lock_shared",
 }
 
-// refusal names the state that a statement would leave on its connection, or
-// returns nothing.
+// refusal names what a proxy cannot support about a statement, mostly state that
+// would stay on its connection. It returns nothing for other statements.
 func refusal(tokens []token) string {
 	switch first := tokens[0]; {
 	case first.is("listen"):
@@ -22,6 +22,9 @@
 	case first.is("declare") && holds(tokens):
 		return "a cursor WITH HOLD"
 	}
+	if chains(tokens) {
+		return "COMMIT AND CHAIN"
+	}
 	for i, t := range tokens {
 		switch {
 		case t.is("create") && createsTemporary(tokens[i+1:]):
@@ -35,6 +38,16 @@
 	return ""
 }
 
+// chains recognises a COMMIT that begins another transaction. It cannot be
+// confirmed: the connection is not idle afterwards.
+func chains(tokens []token) bool {
+	if !tokens[0].is("commit", "end") {
+		return false
+	}
+	last := len(tokens) - 1
+	return last > 1 && tokens[last].is("chain") && tokens[last-1].is("and")
+}
+
 func cursorAt(tokens []token, i int) token {
 	c := cursor{tokens}
 	return c.peek(i)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -27,8 +27,8 @@
 	Discard
 	// Deallocate drops the prepared statement Name, or all where it is empty.
 	Deallocate
-	// Refused leaves state on the connection that cannot be restored. Reason
-	// names the state.
+	// Refused leaves state on the connection that cannot be restored, or cannot
+	// be confirmed. Reason names what is not supported.
 	Refused
 )
 
