--- a/pkg/proxy/promotion/plan.go
+++ b/pkg/proxy/promotion/plan.go
@@ -34,8 +34,6 @@
 	probeAt  proxy.Instant
 }
 
-func (p *plan) reset() { *p = plan{serial: p.serial} }
-
 // postpone ends a try and sets the time of the next.
 func (p *plan) postpone(s *step) {
 	p.active = false
--- a/pkg/proxy/promotion/status.go
+++ b/pkg/proxy/promotion/status.go
@@ -72,6 +72,10 @@
 		return fmt.Sprintf("%d of the %d replicas that must confirm a write can do so",
 			g.confirmable(g.replicas(s)), g.object.Confirmations())
 	}
+	if target := g.target(s); g.rank >= 0 && target != "" {
+		return fmt.Sprintf("planned change of primary from %s to %s is due: %d of the %d replicas that must leave term %d follow it",
+			era.Primary, target, g.confirmable(g.replicas(s)), g.object.Departures(), g.object.Term)
+	}
 	return ""
 }
 
--- a/pkg/proxy/promotion/store.go
+++ b/pkg/proxy/promotion/store.go
@@ -121,6 +121,7 @@
 	}
 	g.absent = false
 	changed := g.object == nil || o.Term != g.object.Term
+	renewed := g.object != nil && o.Era() == g.object.Era()
 	g.object = o
 	g.version = version
 	if !changed {
@@ -135,7 +136,12 @@
 	g.attempt = nil
 	g.abandoned = 0
 	g.alarm.reset()
-	g.plan.reset()
+	if renewed {
+		// A planned change that ended in a renewal is not tried again at once.
+		g.plan.postpone(s)
+		return
+	}
+	g.plan = plan{serial: g.plan.serial}
 }
 
 // create writes the first object with the primary that the document names.
