--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,6 +9,7 @@
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
@@ -25,7 +26,9 @@
 		h.driver.Post(promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
 		h.place()
 		h.log.Info().Uint64("revision", uint64(e.Loaded.Revision)).Msg("configuration in force")
+		h.apply(e.Loaded)
 		h.front.Recheck()
+		h.reporter.wake()
 	case configuration.Reject:
 		h.log.Error().Err(e.Err).Msg("document rejected")
 	default:
@@ -36,6 +39,31 @@
 	}
 }
 
+// apply keeps the envelope of the revision in force. Effects may be carried out
+// out of order, so an older one is passed over.
+func (h *Host) apply(loaded configuration.Loaded) {
+	envelope, err := environment.DecodeEnvelope(loaded.Data)
+	if err != nil {
+		h.log.Error().Err(err).Msg("envelope not kept")
+		return
+	}
+	for {
+		old := h.applied.Load()
+		if old != nil && old.Revision >= envelope.Revision || h.applied.CompareAndSwap(old, envelope) {
+			return
+		}
+	}
+}
+
+// inForce returns the revision in force and its digest.
+func (h *Host) inForce() (proxy.Revision, environment.Digest) {
+	envelope := h.applied.Load()
+	if envelope == nil {
+		return 0, ""
+	}
+	return envelope.Revision, envelope.Digest
+}
+
 // send delivers control messages to another host. A failed host is dialled too,
 // since probes find out when it is back.
 func (h *Host) send(ctx context.Context, to proxy.HostID, messages []proxy.Message) error {
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -59,6 +59,8 @@
 	server        *inner.Server
 	front         *front.Server
 	status        *rest.Server
+	reporter      *reporter
+	applied       atomic.Pointer[environment.Envelope]
 	stopping      atomic.Bool
 }
 
@@ -143,6 +145,7 @@
 	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
 		return err
 	}
+	h.reporter = newReporter(h)
 	status := &statusServer{page: h.page, registry: h.registry}
 	h.status, err = status.newServer(h.settings.Status)
 	return err
@@ -218,6 +221,7 @@
 	start(func() { h.driver.Run(inside) })
 	start(func() { h.pool.Run(inside) })
 	start(func() { h.supervisor.Run(inside) })
+	start(func() { h.reporter.run(inside) })
 	start(func() { h.peers.Run(inside) })
 	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
 	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
@@ -232,6 +236,7 @@
 
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
+	h.reporter.wake()
 	h.driver.Post(member.Leave{})
 }
 
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -161,6 +161,10 @@
 		if err == nil && progress.Everywhere() {
 			return progress, nil
 		}
+		if err == nil && progress.Live == 0 && e.Stage == proxy.Trial {
+			fmt.Fprintln(s.Messages, "no live host serves the trial stage")
+			return progress, nil
+		}
 		if waited >= limit {
 			return latest, notInForce(err)
 		}
