--- a/cmd/emulated-instance/main.go
+++ b/cmd/emulated-instance/main.go
@@ -60,7 +60,7 @@
 	settings := instance.Options{
 		Name: o.Name, Address: o.Address, Control: o.Control, Source: o.Source, Replica: o.Replica,
 		User: o.User, Password: o.Password, Log: log,
-		Faults: instance.Faults{
+		Faults: &instance.Faults{
 			Lag: o.Lag, Delay: o.Delay, Cost: o.Cost, Slots: o.Slots, Connections: o.Connections,
 		},
 	}
--- a/internal/emulator/instance/copy.go
+++ b/internal/emulator/instance/copy.go
@@ -56,7 +56,7 @@
 	return overall, columns
 }
 
-// encodeCopyRow returns a row in the format of the statement.
+// encodeRow returns a row in the format of the statement.
 func (c *copyStatement) encodeRow(row []value) ([]byte, error) {
 	if c.format == copyText {
 		return encodeTextRow(row), nil
@@ -101,7 +101,7 @@
 	return append(data, '\n')
 }
 
-// header and trailer of the data of COPY ... TO.
+// header returns what precedes the rows of COPY ... TO, nil for nothing.
 func (c *copyStatement) header() []byte {
 	if c.format == copyText {
 		return nil
@@ -109,6 +109,7 @@
 	return append([]byte(copySignature), make([]byte, 8)...)
 }
 
+// trailer returns what follows the rows of COPY ... TO, nil for nothing.
 func (c *copyStatement) trailer() []byte {
 	if c.format == copyText {
 		return nil
--- a/internal/emulator/instance/functions.go
+++ b/internal/emulator/instance/functions.go
@@ -57,11 +57,15 @@
 	return intValue(int64(len([]rune(arguments[0].text)))).convert(pgtype.Int4OID)
 }
 
+// maxSleep keeps the time of pg_sleep within a time.Duration.
+const maxSleep = 24 * 365 * time.Hour
+
 func sleep(s *session, arguments []value) (value, error) {
 	seconds, err := arguments[0].float()
 	if err != nil {
 		return value{}, err
 	}
+	seconds = min(seconds, maxSleep.Seconds())
 	err = s.pause(time.Duration(seconds * float64(time.Second)))
 	return value{oid: oidVoid}, err
 }
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -38,8 +38,8 @@
 	Password string
 	// TLS holds the certificate; without it TLS is declined.
 	TLS *tls.Config
-	// Faults are the initial faults; DefaultFaults is the usual value.
-	Faults Faults
+	// Faults are the initial faults, DefaultFaults if nil.
+	Faults *Faults
 	Log    zerolog.Logger
 }
 
@@ -85,7 +85,11 @@
 		}
 		i.scram = server
 	}
-	if err := i.SetFaults(options.Faults); err != nil {
+	faults := DefaultFaults()
+	if options.Faults != nil {
+		faults = *options.Faults
+	}
+	if err := i.SetFaults(faults); err != nil {
 		return nil, nil, err
 	}
 	if err := i.listen(); err != nil {
--- a/internal/emulator/instance/transaction_test.go
+++ b/internal/emulator/instance/transaction_test.go
@@ -16,7 +16,7 @@
 // count, and those that end in a deadlock or a rollback must not.
 func TestConcurrentIncrements(t *testing.T) {
 	is := is.New(t)
-	i := start(t, instance.Options{Name: "a", Faults: instance.Faults{Slots: 2}})
+	i := start(t, instance.Options{Name: "a", Faults: &instance.Faults{Slots: 2}})
 	c := connect(t, i)
 	run(t, c, "INSERT INTO kv VALUES ('0', '0'), ('1', '0'), ('2', '0')")
 	committed := make([]int, 4)
