--- /dev/null
+++ b/cmd/emulated-platform/main.go
@@ -0,0 +1,93 @@
+// Command emulated-platform serves an object store in memory in the place of
+// the platform, for tests and the demo.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/jessevdk/go-flags"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest"
+)
+
+type options struct {
+	Listen string   `long:"listen" default:"127.0.0.1:17000" description:"address of the HTTP listener, host:port"`
+	Hosts  []string `long:"host" description:"host to put on the list of hosts, as NAME,ZONE,ADDRESS; may be repeated"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var flagsErr *flags.Error
+		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
+			os.Exit(0)
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "emulated-platform:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	host, portText, err := net.SplitHostPort(o.Listen)
+	if err != nil {
+		return fmt.Errorf("option --listen: %w", err)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return fmt.Errorf("option --listen: %w", err)
+	}
+	logx.Disable()
+	server, err := rest.NewServer(rest.RestConf{Host: host, Port: port})
+	if err != nil {
+		return fmt.Errorf("build server: %w", err)
+	}
+	emulator := platform.NewServer()
+	if err := publish(emulator.Memory, o.Hosts); err != nil {
+		return fmt.Errorf("option --host: %w", err)
+	}
+	server.AddRoutes(emulator.Routes())
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go server.Start()
+	fmt.Printf("emulated-platform listens on %s\n", o.Listen)
+	<-stop
+	server.Stop()
+	return nil
+}
+
+// publish puts hosts on the platform's list.
+func publish(store proxy.Store, hosts []string) error {
+	for _, text := range hosts {
+		fields := strings.Split(text, ",")
+		if len(fields) != 3 {
+			return fmt.Errorf("%q: want NAME,ZONE,ADDRESS", text)
+		}
+		state := proxy.HostState{ID: proxy.HostID(fields[0]), Zone: proxy.Zone(fields[1]), Address: fields[2]}
+		if err := state.Validate(); err != nil {
+			return fmt.Errorf("%q: %w", text, err)
+		}
+		value, err := json.Marshal(state)
+		if err != nil {
+			return fmt.Errorf("encode host: %w", err)
+		}
+		key := proxy.HostPrefix + proxy.Key(state.ID)
+		if _, err := store.Put(context.Background(), key, value, 0); err != nil {
+			return fmt.Errorf("put host %s: %w", state.ID, err)
+		}
+	}
+	return nil
+}
