--- a/cmd/emulated-instance/main.go
+++ b/cmd/emulated-instance/main.go
@@ -61,7 +61,7 @@
 	settings := instance.Options{
 		Name: o.Name, Address: o.Address, Control: o.Control, Source: o.Source, Replica: o.Replica, Rebuild: o.Rebuild,
 		User: o.User, Password: o.Password, Log: log,
-		Faults: &instance.Faults{
+		Faults: instance.Faults{
 			Lag: o.Lag, Delay: o.Delay, Cost: o.Cost, Slots: o.Slots, Connections: o.Connections,
 		},
 	}
--- a/internal/emulator/instance/faults_test.go
+++ b/internal/emulator/instance/faults_test.go
@@ -100,7 +100,7 @@
 // faults that a control request does not change or changes besides.
 func TestLimitsOverControl(t *testing.T) {
 	is := is.New(t)
-	i := start(t, instance.Options{Name: "a"})
+	i := start(t, instance.Options{Name: "a", Faults: instance.DefaultFaults()})
 	var faults instance.Faults
 	is.Equal(request(t, i, "PUT", "/faults", `{"slots": 2, "connections": 4, "lag": "50ms"}`, &faults), 200)
 	is.Equal(faults, instance.Faults{Slots: 2, Connections: 4, Lag: 50 * time.Millisecond, Cost: instance.DefaultCost})
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -41,8 +41,9 @@
 	Password string
 	// TLS holds the certificate; without it TLS is declined.
 	TLS *tls.Config
-	// Faults are the initial faults, DefaultFaults if nil.
-	Faults *Faults
+	// Faults are the initial faults. The zero value has none, and new
+	// connections cost nothing; DefaultFaults has the usual cost.
+	Faults Faults
 	Log    zerolog.Logger
 }
 
@@ -89,11 +90,7 @@
 		}
 		i.scram = server
 	}
-	faults := DefaultFaults()
-	if options.Faults != nil {
-		faults = *options.Faults
-	}
-	if err := i.SetFaults(faults); err != nil {
+	if err := i.SetFaults(options.Faults); err != nil {
 		return nil, nil, err
 	}
 	if err := i.listen(); err != nil {
--- a/internal/emulator/instance/parser.go
+++ b/internal/emulator/instance/parser.go
@@ -267,6 +267,9 @@
 	if p.words("time zone") {
 		return "timezone"
 	}
+	if p.words("session authorization") {
+		return "session_authorization"
+	}
 	if p.words("transaction isolation level") {
 		return "transaction_isolation"
 	}
--- a/internal/emulator/instance/transaction_test.go
+++ b/internal/emulator/instance/transaction_test.go
@@ -16,7 +16,7 @@
 // count, and those that end in a deadlock or a rollback must not.
 func TestConcurrentIncrements(t *testing.T) {
 	is := is.New(t)
-	i := start(t, instance.Options{Name: "a", Faults: &instance.Faults{Slots: 2}})
+	i := start(t, instance.Options{Name: "a", Faults: instance.Faults{Slots: 2}})
 	c := connect(t, i)
 	run(t, c, "INSERT INTO kv VALUES ('0', '0'), ('1', '0'), ('2', '0')")
 	committed := make([]int, 4)
@@ -146,6 +146,10 @@
 	is.Equal(text(t, c, "SELECT count(*)::text FROM kv"), "0")
 	run(t, c, "SET application_name = 'changed'")
 	is.Equal(c.PgConn().ParameterStatus("application_name"), "changed")
+	run(t, c, "RESET SESSION AUTHORIZATION;RESET ALL")
+	is.Equal(c.PgConn().ParameterStatus("application_name"), "")
+	is.Equal(text(t, c, "SHOW session_authorization"), "system")
+	run(t, c, "SET application_name = 'changed'")
 	run(t, c, "DISCARD ALL")
 	is.Equal(c.PgConn().ParameterStatus("application_name"), "")
 }
