--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -41,7 +41,8 @@
 	Password string
 	// TLS holds the certificate; without it TLS is declined.
 	TLS *tls.Config
-	// Faults are the initial faults; DefaultFaults is the usual value.
+	// Faults are the initial faults. The zero value has none, and new
+	// connections cost nothing; DefaultFaults has the usual cost.
 	Faults Faults
 	Log    zerolog.Logger
 }
