--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		d.Fatal(err)
 	}
-	d.put(environment.HostPrefix+proxy.Key(id), listed)
+	d.put(proxy.HostPrefix("loom-ledger", stage)+proxy.Key(id), listed)
 	if e == nil {
 		return
 	}
--- a/pkg/proxy/environment/names.go
+++ b/pkg/proxy/environment/names.go
@@ -39,6 +39,3 @@
 func StatusKey(environment proxy.EnvironmentID, stage proxy.Stage, host proxy.HostID) proxy.Key {
 	return StatusPrefix(environment, stage) + proxy.Key(host)
 }
-
-// HostPrefix is the prefix of the platform's list of hosts.
-const HostPrefix proxy.Key = "hosts/"
--- a/pkg/proxy/environment/progress.go
+++ b/pkg/proxy/environment/progress.go
@@ -92,7 +92,8 @@
 
 // ReadProgress tells how far the given revision of a stage has come.
 func ReadProgress(ctx context.Context, store proxy.Store, environment proxy.EnvironmentID, stage proxy.Stage, revision proxy.Revision, digest Digest) (*Progress, error) {
-	listed, err := store.List(ctx, HostPrefix)
+	prefix := proxy.HostPrefix(environment, stage)
+	listed, err := store.List(ctx, prefix)
 	if err != nil {
 		return nil, fmt.Errorf("list hosts: %w", err)
 	}
@@ -100,17 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
-	other := proxy.Production
-	if stage == proxy.Production {
-		other = proxy.Trial
-	}
-	elsewhere, err := readStatuses(ctx, store, environment, other)
-	if err != nil {
-		return nil, err
-	}
 	p := &Progress{Revision: revision, Digest: digest}
 	for _, object := range listed {
-		p.addListed(object, statuses, elsewhere)
+		p.addListed(proxy.HostID(strings.TrimPrefix(string(object.Key), string(prefix))), object.Value, statuses)
 	}
 	for id, status := range statuses {
 		p.addUnlisted(id, status)
@@ -138,12 +131,11 @@
 	return statuses, nil
 }
 
-func (p *Progress) addListed(object proxy.Object, statuses, elsewhere map[proxy.HostID]*HostStatus) {
-	id := proxy.HostID(strings.TrimPrefix(string(object.Key), string(HostPrefix)))
+func (p *Progress) addListed(id proxy.HostID, value []byte, statuses map[proxy.HostID]*HostStatus) {
 	status, reported := statuses[id]
 	delete(statuses, id)
 	var host proxy.HostState
-	if err := json.Unmarshal(object.Value, &host); err != nil {
+	if err := json.Unmarshal(value, &host); err != nil || host.ID != id {
 		p.add(HostProgress{Host: id, Condition: Unreadable})
 		return
 	}
@@ -151,10 +143,6 @@
 		p.add(HostProgress{Host: id, Zone: host.Zone, Condition: Unreadable})
 		return
 	}
-	// A host runs one stage. One that reports in the other is not waited for.
-	if there := elsewhere[id]; !reported && there != nil && sameLife(host, there) {
-		return
-	}
 	progress := HostProgress{Host: id, Zone: host.Zone, Condition: Silent}
 	if reported && sameLife(host, status) {
 		progress.Revision, progress.Reported = status.Revision, status.Time
--- a/pkg/proxy/environment/status_test.go
+++ b/pkg/proxy/environment/status_test.go
@@ -26,27 +26,27 @@
 		is.NoErr(err)
 	}
 	list := func(id proxy.HostID, leaving bool) {
-		put(environment.HostPrefix+proxy.Key(id), proxy.HostState{ID: id, Zone: "z", Address: "127.0.0.1:1", Incarnation: 7, Leaving: leaving})
+		put(proxy.HostPrefix("demo", proxy.Trial)+proxy.Key(id), proxy.HostState{ID: id, Zone: "z", Address: "127.0.0.1:1", Incarnation: 7, Leaving: leaving})
 	}
-	report := func(id proxy.HostID, stage proxy.Stage, incarnation proxy.Incarnation, revision proxy.Revision, digest environment.Digest) {
-		put(environment.StatusKey("demo", stage, id), environment.HostStatus{
+	report := func(id proxy.HostID, incarnation proxy.Incarnation, revision proxy.Revision, digest environment.Digest) {
+		put(environment.StatusKey("demo", proxy.Trial, id), environment.HostStatus{
 			Host: id, Zone: "z", Address: "127.0.0.1:1", Incarnation: incarnation, Revision: revision, Digest: digest, Time: noon,
 		})
 	}
-	for _, id := range []proxy.HostID{"current", "newer", "older", "none", "altered", "restarted", "silent", "elsewhere"} {
+	for _, id := range []proxy.HostID{"current", "newer", "older", "none", "altered", "restarted", "silent"} {
 		list(id, false)
 	}
 	list("leaving", true)
-	report("current", proxy.Trial, 7, 5, digest)
-	report("newer", proxy.Trial, 7, 6, other)
-	report("older", proxy.Trial, 7, 4, other)
-	report("none", proxy.Trial, 7, 0, "")
-	report("altered", proxy.Trial, 7, 5, other)
-	report("restarted", proxy.Trial, 6, 5, digest)
-	report("leaving", proxy.Trial, 7, 4, other)
-	report("gone", proxy.Trial, 7, 4, other)
-	report("elsewhere", proxy.Production, 7, 5, digest)
-	put(environment.HostPrefix+"damaged", "text")
+	report("current", 7, 5, digest)
+	report("newer", 7, 6, other)
+	report("older", 7, 4, other)
+	report("none", 7, 0, "")
+	report("altered", 7, 5, other)
+	report("restarted", 6, 5, digest)
+	report("leaving", 7, 4, other)
+	report("gone", 7, 4, other)
+	put(proxy.HostPrefix("demo", proxy.Production)+"elsewhere", proxy.HostState{ID: "elsewhere"})
+	put(proxy.HostPrefix("demo", proxy.Trial)+"damaged", "text")
 	put(environment.StatusKey("demo", proxy.Trial, "misplaced"), "text")
 
 	progress, err := environment.ReadProgress(ctx, store, "demo", proxy.Trial, 5, digest)
