--- a/pkg/proxy/environment/progress.go
+++ b/pkg/proxy/environment/progress.go
@@ -135,7 +135,7 @@
 	status, reported := statuses[id]
 	delete(statuses, id)
 	var host proxy.HostState
-	if err := json.Unmarshal(value, &host); err != nil {
+	if err := json.Unmarshal(value, &host); err != nil || host.ID != id {
 		p.add(HostProgress{Host: id, Condition: Unreadable})
 		return
 	}
