--- a/internal/inner/inner_test.go
+++ b/internal/inner/inner_test.go
@@ -46,19 +46,24 @@
 }
 
 // Guards against answers of one loan that reach another on the same peer
-// connection, a connection that is not reset between the sessions of two fronts,
+// connection, a connection whose number is lost on the way, a connection that is not reset between the sessions of two fronts,
 // and a confirmation that loses its bookmark.
 func TestRemoteLoans(t *testing.T) {
 	is := is.New(t)
 	h := startHost(t, 2)
 	front, other := h.client(t, 1), h.client(t, 2)
+	var number uint64 // of the only connection
 	for _, step := range []struct {
 		client *inner.Client
 		same   bool
 	}{{front, false}, {front, true}, {other, false}, {other, true}, {front, false}} {
 		loan, err := step.client.At(h.address).Lend(t.Context(), ask(5))
 		is.NoErr(err)
-		is.Equal(loan.Lent(), proxy.Lent{Instance: "one", Primary: true, Term: 3, Same: step.same})
+		if number == 0 {
+			number = loan.Lent().Connection
+			is.True(number != 0)
+		}
+		is.Equal(loan.Lent(), proxy.Lent{Instance: "one", Primary: true, Term: 3, Same: step.same, Connection: number})
 		values, err := query(loan, "SELECT 1")
 		is.NoErr(err)
 		is.Equal(values, []string{"1"})
--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,8 @@
 
 // connection is one open connection to an instance.
 type connection struct {
+	// number tells sessions the connection apart from others.
+	number   uint64
 	wire     *wire
 	frontend *pgproto3.Frontend
 	pid      uint32
@@ -105,6 +108,7 @@
 	w.progress.status = hijacked.TxStatus
 	w.follow.Store(true)
 	return &connection{
+		number:   rand.Uint64(),
 		wire:     w,
 		frontend: hijacked.Frontend,
 		pid:      hijacked.PID,
--- a/internal/pool/group_test.go
+++ b/internal/pool/group_test.go
@@ -126,7 +126,7 @@
 	eventually(func() bool { return g.state("two").Replayed >= at.Position })
 	read, err = g.pool.Lend(t.Context(), reading(at))
 	is.NoErr(err)
-	is.Equal(read.Lent(), proxy.Lent{Instance: "two", Term: 7})
+	is.Equal(numbered(t, read.Lent()), proxy.Lent{Instance: "two", Term: 7})
 	read.Release(proxy.Return{})
 }
 
@@ -218,8 +218,19 @@
 	}()
 	is.NoErr(g.two.Promote())
 	g.leaders.set(proxy.Leadership{Term: 8, Primary: "two"})
-	is.Equal(<-done, proxy.Lent{Instance: "two", Primary: true, Term: 8})
+	is.Equal(numbered(t, <-done), proxy.Lent{Instance: "two", Primary: true, Term: 8})
 	_, err = held.Confirm(t.Context())
 	is.Equal(proxy.AsRefusal(err).Outcome, proxy.Unknown) // the old primary's write is not acknowledged
 	held.Release(proxy.Return{})
 }
+
+// numbered checks that the connection has a number, which is random, and
+// returns the rest of what is lent.
+func numbered(t *testing.T, lent proxy.Lent) proxy.Lent {
+	t.Helper()
+	if lent.Connection == 0 {
+		t.Error("connection without a number")
+	}
+	lent.Connection = 0
+	return lent
+}
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -128,6 +128,7 @@
 			continue
 		}
 		c.session = o
+		lent.Connection = c.number
 		writes := ask.Access == proxy.Write
 		if writes {
 			p.addWriter(i.group, 1)
