--- a/pkg/proxy/promotion/acknowledge_test.go
+++ b/pkg/proxy/promotion/acknowledge_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -156,3 +157,26 @@
 	is.True(known)
 	is.Equal(l, proxy.Leadership{Term: 4, Primary: "c", Start: 200})
 }
+
+// TestConcurrentUse guards against data races between the control workers and
+// the request path; it is meant for go test -race.
+func TestConcurrentUse(t *testing.T) {
+	m := machine(t)
+	var workers sync.WaitGroup
+	for n := range 4 {
+		workers.Go(func() {
+			for i := range 200 {
+				now := present.Add(time.Duration(i) * time.Millisecond)
+				o := replica("b", 4, proxy.Position(200+i))
+				o.Sent = now
+				m.Handle(now, o)
+				m.Handle(now, proxy.Tick{Random: uint64(n)})
+				_ = m.Ready(now, "orders")
+				_ = m.Acknowledge(now, "orders", "c", proxy.Bookmark{Term: 4, Position: 200})
+				m.Status(now, "orders")
+				m.Leader("orders")
+			}
+		})
+	}
+	workers.Wait()
+}
--- a/pkg/proxy/promotion/store_test.go
+++ b/pkg/proxy/promotion/store_test.go
@@ -116,6 +116,8 @@
 // notify delivers a change to one host's watch, and again later if the host or
 // the platform could not be reached.
 func (s *store) notify(h *host, object proxy.Object) {
+	// A watch is sent long before the change that ends it.
+	sent := h.clock().Add(-time.Second)
 	arrived := false
 	s.w.after(time.Second, func() {
 		if !arrived && object.Version == s.version {
@@ -128,7 +130,7 @@
 	life := h.life
 	s.w.send(platform, h.name(), func() {
 		arrived = true
-		h.do(life, func() { h.handle(proxy.Fetched{Object: object, Sent: h.clock()}) })
+		h.do(life, func() { h.handle(proxy.Fetched{Object: object, Sent: sent}) })
 	})
 }
 
