--- /dev/null
+++ b/pkg/proxy/limit/expiry_test.go
@@ -0,0 +1,77 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"pgregory.net/rapid"
+)
+
+// Guards against parts of which giver and receiver, or earlier and later holder
+// of a slot, use the same at once, if only for the difference of two clocks. One
+// host receives most of an account, is then cut off or paused, or the account's
+// limit changes, and all hosts are flooded until everything has expired. With a
+// burst of a tenth of a second's rate, a few milliseconds of double use are
+// above the bound; with a rate near zero, so are tokens that are counted twice.
+func TestExpiry(t *testing.T) {
+	const account = "only"
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBound(rapid.IntRange(2, 4).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"), account)
+		b.valid = rapid.SampledFrom([]time.Duration{3 * time.Second, 20 * time.Second}).Draw(t, "valid")
+		b.lease = rapid.SampledFrom([]time.Duration{12 * time.Second, 60 * time.Second}).Draw(t, "lease")
+		b.renew = 3 * time.Second
+		b.hold = b.valid + b.valid/20
+		delay := time.Duration(rapid.IntRange(1, 240).Draw(t, "delay")) * time.Millisecond
+		b.delay = func() time.Duration { return delay }
+		b.loss = rapid.SampledFrom([]float64{0, 0, 0.1}).Draw(t, "loss")
+		limits := proxy.Account{ID: account, Rate: 1000, Burst: 100}
+		if rapid.Bool().Draw(t, "burst") {
+			limits = proxy.Account{ID: account, Rate: 5, Burst: 400}
+		}
+		b.put(&proxy.Document{Accounts: []proxy.Account{limits}})
+		for host := range b.current {
+			b.launch(host)
+		}
+		b.run(12 * time.Second)
+		b.flood(time.Duration(rapid.IntRange(1, 40).Draw(t, "ceding"))*tick, account, b.current[0])
+		b.disturb(t, limits)
+		b.flood(b.valid+b.lease+b.lease/10+3*time.Second, account, b.current...)
+		b.check(t)
+	})
+}
+
+// disturb cuts off or pauses the first host, or changes the limit.
+func (b *bound) disturb(t *rapid.T, limits proxy.Account) {
+	p := b.current[0]
+	switch rapid.SampledFrom([]string{"none", "cut", "alone", "pause", "document", "remove", "leave"}).Draw(t, "disturbance") {
+	case "cut":
+		p.side = 1
+	case "alone":
+		p.side, p.offline = 1, true
+	case "pause":
+		p.paused = true
+		b.after(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause"))*tick, func() { b.resume(p) })
+	case "document":
+		limits.Rate, limits.Burst = limits.Rate/5, limits.Burst/5
+		b.put(&proxy.Document{Accounts: []proxy.Account{limits}})
+	case "remove":
+		accounts := []proxy.Account{limits}
+		b.put(&proxy.Document{})
+		b.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "removed")) * tick)
+		b.put(&proxy.Document{Accounts: accounts})
+	case "leave":
+		b.end(p)
+		b.launch(0)
+	}
+}
+
+// flood sends more requests than the limit allows to the given processes.
+func (b *bound) flood(d time.Duration, account proxy.AccountID, to ...*process) {
+	for end := b.now + d; b.now < end; {
+		for _, p := range to {
+			b.attempt(p, account, 1000)
+		}
+		b.run(4 * time.Millisecond)
+	}
+}
--- a/pkg/proxy/limit/slots.go
+++ b/pkg/proxy/limit/slots.go
@@ -33,9 +33,8 @@
 	// left is the instant at which the host stopped using the slot, or zero.
 	left proxy.Instant
 	// issued is the instant of the call in progress, or zero; put tells which.
-	issued  proxy.Instant
-	put     claim
-	created bool
+	issued proxy.Instant
+	put    claim
 }
 
 func (t *Table) key(n int) proxy.Key { return t.Prefix + proxy.Key(strconv.Itoa(n)) }
@@ -141,7 +140,6 @@
 	}
 	s.issued = now
 	s.put = c
-	s.created = s.version == 0
 	return []proxy.Effect{proxy.Put{Key: t.key(n), Value: value, Expected: s.version}}
 }
 
@@ -171,10 +169,6 @@
 	s.renewed = e.Sent
 	s.until = e.Sent.Add(proxy.HolderTime(t.Lease))
 	t.hold(now, n)
-	if s.created {
-		// Nobody has used the slot before, so its tokens are all there.
-		t.fillSlot(now, n)
-	}
 	return nil
 }
 
--- a/pkg/proxy/limit/table.go
+++ b/pkg/proxy/limit/table.go
@@ -269,18 +269,6 @@
 	}
 }
 
-// fillSlot adds a slot's tokens to the accounts that are divided over it.
-func (t *Table) fillSlot(now proxy.Instant, n int) {
-	for _, b := range t.order {
-		if t.inSpread(b.account, n) {
-			b.mu.Lock()
-			b.level += b.share.burst
-			b.settle(now)
-			b.mu.Unlock()
-		}
-	}
-}
-
 func (t *Table) setPeers(e Peers) {
 	clear(t.live)
 	t.some = t.some[:0]
