Limit accounts over the fleet; send errors of the emulated instance at once

The demo's transaction check hung for the route's timeout when a statement was refused for its rate inside a transaction: the front fails the transaction with a Parse and waits for the error, which the emulated instance sent only after Sync, unlike PostgreSQL. The smoke test now stays within the example's rate, since buckets are empty after a start.

--- a/demo/smoke/main.go
+++ b/demo/smoke/main.go
@@ -18,8 +18,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// smokeTimeout bounds the whole run.
-const smokeTimeout = time.Minute
+const (
+	// smokeTimeout bounds the whole run.
+	smokeTimeout = time.Minute
+	// pause keeps the requests within the rate of the example accounts, whose
+	// buckets are empty after a start.
+	pause = 60 * time.Millisecond
+)
 
 type options struct {
 	Authority string   `long:"authority" required:"true" description:"PEM file of the authority of the hosts' certificates"`
@@ -104,6 +109,7 @@
 	if _, err := w.Exec(ctx, upsert, "smoke", value); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
+	time.Sleep(pause)
 	r, err := o.connect(ctx, reader, o.Write)
 	if err != nil {
 		return err
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
@@ -22,7 +24,12 @@
 		h.driver.Post(configuration.Peers{Live: e.Live, Known: e.Known})
 		h.placement.SetHosts(h.poolCandidates(e.Live))
 		h.place()
+		h.driver.Post(limit.Peers{Live: e.Live})
+	case limit.Violation:
+		metrics.GetOrRegisterCounter("limit.violations", h.registry).Inc(1)
+		h.log.Error().Str("account", string(e.Account)).Msg("invariant violated: " + e.Text)
 	case configuration.Apply:
+		h.driver.Post(limit.Configure{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
 		h.driver.Post(promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
 		h.place()
 		h.log.Info().Uint64("revision", uint64(e.Loaded.Revision)).Msg("configuration in force")
@@ -84,14 +91,16 @@
 func newRegistry() (*inner.Registry, error) {
 	registry := inner.NewRegistry()
 	for kind, message := range map[inner.MessageKind]proxy.Message{
-		1: &member.Ping{},
-		2: &member.Ack{},
-		3: &member.Relay{},
-		4: &configuration.Poll{},
-		5: &configuration.Report{},
-		6: &promotion.View{},
-		7: &promotion.Drain{},
-		8: &promotion.Drained{},
+		1:  &member.Ping{},
+		2:  &member.Ack{},
+		3:  &member.Relay{},
+		4:  &configuration.Poll{},
+		5:  &configuration.Report{},
+		6:  &promotion.View{},
+		7:  &promotion.Drain{},
+		8:  &promotion.Drained{},
+		9:  &limit.Ask{},
+		10: &limit.Grant{},
 	} {
 		if err := registry.Register(kind, message); err != nil {
 			return nil, fmt.Errorf("control messages: %w", err)
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -27,6 +27,7 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
@@ -52,6 +53,7 @@
 	configuration *configuration.Table
 	members       *member.Table
 	promotion     *promotion.Machine
+	limits        *limit.Table
 	placement     *placement.Table
 	supervisor    *supervisor.Supervisor
 	pool          *pool.Pool
@@ -118,6 +120,11 @@
 		return fmt.Errorf("promotion: %w", err)
 	}
 	h.driver.Add(h.promotion, promotionTick)
+	h.limits = &limit.Table{
+		Self:   h.self,
+		Prefix: environment.Prefix(h.settings.Environment, h.settings.Stage) + "shares/",
+	}
+	h.driver.Add(h.limits, controlTick)
 	h.placement = placement.NewTable(h.self.ID, h.self.Zone)
 	h.placement.SetHosts([]proxy.HostState{h.self})
 	h.supervisor = &supervisor.Supervisor{
@@ -136,7 +143,7 @@
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: h.configuration, Limiter: admitAll{}, Lender: h.forwarder(), Positions: noPositions{}, Clock: h.clock,
+		Catalog: gate{h}, Limiter: h.limits, Lender: h.forwarder(), Positions: noPositions{}, Clock: h.clock,
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
 		Limits: front.Limits{
 			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
@@ -238,6 +245,7 @@
 	h.stopping.Store(true)
 	h.reporter.wake()
 	h.driver.Post(member.Leave{})
+	h.driver.Post(limit.Leave{})
 }
 
 func (h *Host) logError(part string, err error) {
--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -119,7 +119,8 @@
 	c.session.fail()
 	c.skipping = true
 	c.backend.Send(response("ERROR", err))
-	return nil
+	// PostgreSQL sends an error at once, not with the answer to the next Sync.
+	return c.flush()
 }
 
 // ready ends an answer.
--- a/internal/emulator/instance/control.go
+++ b/internal/emulator/instance/control.go
@@ -158,7 +158,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	timeout := time.After(pollTime)
+	wait := pollTime
+	if r.URL.Query().Get("wait") == "no" {
+		wait = 0
+	}
+	timeout := time.After(wait)
 	for {
 		changed := i.engine.Changed()
 		records, err := i.engine.Read(after, batchSize)
--- a/internal/emulator/instance/follow.go
+++ b/internal/emulator/instance/follow.go
@@ -54,6 +54,11 @@
 		"timeline": {strconv.FormatUint(uint64(after.Timeline), 10)},
 		"origin":   {after.Origin},
 	}
+	if !i.engine.State().Streaming {
+		// The first answer shows that the source continues the log; it must
+		// not wait for a new record.
+		query.Set("wait", "no")
+	}
 	var records []Record
 	status, err := get(ctx, client, link.Source, "/log?"+query.Encode(), &records)
 	if status == http.StatusConflict {
--- a/internal/emulator/instance/protocol_test.go
+++ b/internal/emulator/instance/protocol_test.go
@@ -218,3 +218,12 @@
 	}
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
 }
+
+// Guards against an error that is held back until Sync: a client that waits for
+// it before it sends Sync would wait for ever.
+func TestErrorIsSentWithoutSync(t *testing.T) {
+	is := is.New(t)
+	f := raw(t, start(t, instance.Options{Name: "a"}))
+	is.Equal(exchange(t, f, "ErrorResponse", &pgproto3.Parse{Query: "no statement"}, &pgproto3.Flush{}), "42601")
+	is.Equal(exchange(t, f, "ReadyForQuery", &pgproto3.Sync{}), "I")
+}
