--- a/pkg/proxy/document.go
+++ b/pkg/proxy/document.go
@@ -10,7 +10,7 @@
 	Groups      []Group       `yaml:"groups" json:"groups"`
 	Routes      []Route       `yaml:"routes" json:"routes"`
 	// Isolation is how long a host that reaches neither the platform nor a
-	// peer keeps serving; see docs/configuration.md.
+	// peer keeps serving; see docs/documents.md.
 	Isolation time.Duration `yaml:"isolation" json:"isolation"`
 }
 
--- a/pkg/proxy/environment/change_test.go
+++ b/pkg/proxy/environment/change_test.go
@@ -90,6 +90,7 @@
 
 // outcome is what an operator was told of one change.
 type outcome struct {
+	stage    proxy.Stage
 	nonce    environment.Nonce
 	accepted *environment.Accepted
 	err      error
@@ -115,7 +116,10 @@
 				for j := range changes {
 					p := propose(small(1+10*i+j), byte(1+10*i+j))
 					accepted, err := environment.Try(ctx, c, p)
-					outcomes[i] = append(outcomes[i], outcome{p.Nonce, accepted, err})
+					outcomes[i] = append(outcomes[i], outcome{proxy.Trial, p.Nonce, accepted, err})
+					p.Nonce = environment.NewNonce([environment.NonceSize]byte{byte(101 + 10*i + j)})
+					accepted, err = environment.Promote(ctx, c, p)
+					outcomes[i] = append(outcomes[i], outcome{proxy.Production, p.Nonce, accepted, err})
 				}
 			}()
 		}
@@ -125,13 +129,21 @@
 }
 
 func checkOutcomes(t *rapid.T, store proxy.Store, outcomes [][]outcome) {
-	trail, err := environment.ReadTrail(context.Background(), store, "demo", proxy.Trial)
-	if err != nil || len(trail.Missing) > 0 {
-		t.Fatalf("trail: %v, missing %v", err, trail)
-	}
 	recorded := map[environment.Nonce]int{}
-	for _, record := range trail.Records {
-		recorded[record.Nonce]++
+	tried := map[environment.Digest]bool{}
+	for _, stage := range []proxy.Stage{proxy.Trial, proxy.Production} {
+		trail, err := environment.ReadTrail(context.Background(), store, "demo", stage)
+		if err != nil || len(trail.Missing) > 0 {
+			t.Fatalf("%s trail: %v, missing %v", stage, err, trail)
+		}
+		for _, record := range trail.Records {
+			recorded[record.Nonce]++
+			if stage == proxy.Trial {
+				tried[record.Digest] = true
+			} else if !tried[record.Digest] {
+				t.Fatalf("digest %s was promoted and not tried", record.Digest)
+			}
+		}
 	}
 	for _, list := range outcomes {
 		for _, o := range list {
@@ -144,7 +156,7 @@
 				want = 1
 			}
 			if recorded[o.nonce] != want {
-				t.Fatalf("nonce %s recorded %d times, told %+v, %v", o.nonce, recorded[o.nonce], o.accepted, o.err)
+				t.Fatalf("%s nonce %s recorded %d times, told %+v, %v", o.stage, o.nonce, recorded[o.nonce], o.accepted, o.err)
 			}
 		}
 	}
--- a/pkg/proxy/environment/status_test.go
+++ b/pkg/proxy/environment/status_test.go
@@ -47,6 +47,7 @@
 	report("gone", 7, 4, other)
 	put(proxy.HostPrefix("demo", proxy.Production)+"elsewhere", proxy.HostState{ID: "elsewhere"})
 	put(proxy.HostPrefix("demo", proxy.Trial)+"damaged", "text")
+	put(proxy.HostPrefix("demo", proxy.Trial)+"renamed", proxy.HostState{ID: "other"})
 	put(environment.StatusKey("demo", proxy.Trial, "misplaced"), "text")
 
 	progress, err := environment.ReadProgress(ctx, store, "demo", proxy.Trial, 5, digest)
@@ -64,11 +65,12 @@
 		"restarted": environment.Silent,
 		"silent":    environment.Silent,
 		"damaged":   environment.Unreadable,
+		"renamed":   environment.Unreadable,
 		"leaving":   environment.Leaving,
 		"gone":      environment.Unlisted,
 		"misplaced": environment.Unlisted,
 	})
-	is.Equal(progress.Live, 8)
+	is.Equal(progress.Live, 9)
 	is.Equal(progress.Ready, 2)
 	is.True(!progress.Everywhere())
 	is.True(!(&environment.Progress{}).Everywhere()) // no live host
