Test and benchmark the client side against the emulated instance

A batch is split before the messages that follow a COMMIT, since the proxy's Sync behind it would close their portals. A lent connection whose state is not remembered gets the startup settings again.

--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,142 @@
+package front_test
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const readOne = "select value from kv where key = $1"
+
+// connections opens n connections each to the instance and to the server.
+func benchConnections(b *testing.B, w *world, address string, n int) (direct, proxied []*pgx.Conn) {
+	for range n {
+		conn, err := pgx.Connect(background, "postgres://system:secret@"+address+"/db?sslmode=disable")
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { _ = conn.Close(background) })
+		direct = append(direct, conn)
+		proxied = append(proxied, w.session("stock", ""))
+	}
+	return direct, proxied
+}
+
+func readValue(b *testing.B, conn *pgx.Conn) {
+	var value string
+	if err := conn.QueryRow(background, readOne, "a").Scan(&value); err != nil {
+		b.Error(err)
+	}
+}
+
+// BenchmarkRead compares a one-statement read on one connection with a direct
+// connection. The reads alternate, so that both see the same load.
+func BenchmarkRead(b *testing.B) {
+	w, address := emulated(b, 2)
+	direct, proxied := benchConnections(b, w, address, 1)
+	if _, err := direct[0].Exec(background, "insert into kv values ('a', '1')"); err != nil {
+		b.Fatal(err)
+	}
+	times := [2][]time.Duration{}
+	for b.Loop() {
+		for n, conn := range []*pgx.Conn{direct[0], proxied[0]} {
+			start := time.Now()
+			readValue(b, conn)
+			times[n] = append(times[n], time.Since(start))
+		}
+	}
+	median := func(d []time.Duration) float64 {
+		slices.Sort(d)
+		return float64(d[len(d)/2].Nanoseconds()) / 1000
+	}
+	b.ReportMetric(median(times[0]), "direct-us")
+	b.ReportMetric(median(times[1])-median(times[0]), "added-us")
+}
+
+// BenchmarkThroughput compares reads on 64 connections at once, and reports the
+// share of the direct throughput that the server reaches.
+func BenchmarkThroughput(b *testing.B) {
+	const clients = 64
+	w, address := emulated(b, clients+1) // one for the monitor
+	direct, proxied := benchConnections(b, w, address, clients)
+	if _, err := direct[0].Exec(background, "insert into kv values ('a', '1')"); err != nil {
+		b.Fatal(err)
+	}
+	measure := func(conns []*pgx.Conn, n int) time.Duration {
+		start := time.Now()
+		var done sync.WaitGroup
+		for _, conn := range conns {
+			done.Go(func() {
+				for range n {
+					readValue(b, conn)
+				}
+			})
+		}
+		done.Wait()
+		return time.Since(start)
+	}
+	measure(direct, 1)
+	measure(proxied, 1)
+	var times [2]time.Duration
+	for b.Loop() {
+		times[0] += measure(direct, 100)
+		times[1] += measure(proxied, 100)
+	}
+	b.ReportMetric(float64(clients*100*b.N)/times[0].Seconds(), "direct/s")
+	b.ReportMetric(times[0].Seconds()/times[1].Seconds(), "share")
+}
+
+// BenchmarkIdle reports the memory of idle client connections without TLS. The
+// clients' ends are bare sockets.
+func BenchmarkIdle(b *testing.B) {
+	const clients = 5000
+	w := start(b)
+	startup := packet(-1, pgproto3.ProtocolVersion30, "user\x00a\x00database\x00open\x00\x00")
+	for b.Loop() {
+		before := occupied()
+		conns := make([]net.Conn, clients)
+		reply := make([]byte, 4096)
+		for n := range conns {
+			conn, err := net.Dial("tcp", w.address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = conn.Write(startup)
+			_, _ = conn.Read(reply)
+			conns[n] = conn
+		}
+		b.ReportMetric(float64(occupied()-before)/clients, "B/client")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		for len(w.Sessions()) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// BenchmarkStream streams results of 100 MB and reports the growth of the heap.
+func BenchmarkStream(b *testing.B) {
+	w := start(b)
+	conn := w.session("open", "")
+	before := allocated()
+	for b.Loop() {
+		reader := conn.PgConn().Exec(background, fmt.Sprintf("rows %d", 100_000))
+		for reader.NextResult() {
+			for rows := reader.ResultReader(); rows.NextRow(); {
+				continue
+			}
+		}
+		if err := reader.Close(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.SetBytes(100_000_000)
+	b.ReportMetric(float64(int64(allocated())-int64(before)), "B-growth")
+}
--- a/internal/front/extended.go
+++ b/internal/front/extended.go
@@ -52,7 +52,21 @@
 	return nil
 }
 
+// afterCommit sends a batch that contains COMMIT before anything follows it, so
+// that the commit is confirmed first. It reports that the batch has failed.
+func (s *session) afterCommit() (bool, error) {
+	if !s.commits {
+		return false, nil
+	}
+	s.commits = false
+	err := s.flushBatch()
+	return s.skipping, err
+}
+
 func (s *session) parse(m *pgproto3.Parse) error {
+	if skip, err := s.afterCommit(); skip || err != nil {
+		return err
+	}
 	statements := statement.Classify(m.Query)
 	if refusal := s.examine(statements); refusal != nil {
 		return s.refuseBatch(refusal)
@@ -67,6 +81,9 @@
 }
 
 func (s *session) bind(m *pgproto3.Bind) error {
+	if skip, err := s.afterCommit(); skip || err != nil {
+		return err
+	}
 	d := s.state.statements[m.PreparedStatement]
 	if s.state.portals == nil {
 		s.state.portals = make(map[string]*definition)
@@ -108,12 +125,8 @@
 	if err := s.admit(statements); err != nil {
 		return s.failBatch(err)
 	}
-	if s.commits {
-		// The COMMIT is confirmed before anything follows it.
-		if err := s.flushBatch(); err != nil || s.skipping {
-			return err
-		}
-		s.commits = false
+	if skip, err := s.afterCommit(); skip || err != nil {
+		return err
 	}
 	s.commits = slices.ContainsFunc(statements, isCommitStatement)
 	s.server.metrics.statements.Inc(1)
--- a/internal/front/restore.go
+++ b/internal/front/restore.go
@@ -42,9 +42,7 @@
 		delete(known.parsed, "")
 		loan.state.parsed = known.parsed
 		texts = append(texts, resetSettings)
-	case loan.lent.Same && plain:
-		return nil
-	case loan.lent.Same:
+	case loan.lent.Same && !plain:
 		if err := s.prepare(discardAll); err != nil {
 			return err
 		}
