--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// cancel asks the instance to cancel what runs on the session's loan. The loan
+// cancel asks the instance to cancel what runs on the session's loan, or ends
+// the wait for one. The loan
 // is not released while the request is under way, so that it cannot reach the
 // connection's next user. The wish is examined again once no release can follow.
 func (s *session) cancel(ctx context.Context, wanted func() bool) {
@@ -101,11 +102,14 @@
 	if s.loan != nil && !s.loan.taken {
 		loan = s.loan.Loan
 	}
+	if s.unlend != nil {
+		s.unlend()
+	}
 	s.mu.Unlock()
 	if loan == nil {
 		return
 	}
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithTimeout(ctx, s.server.Limits.Cancel)
 	defer stop()
 	defer context.AfterFunc(s.ctx, stop)()
 	if err := loan.Cancel(ctx); err != nil {
--- a/internal/front/extended.go
+++ b/internal/front/extended.go
@@ -71,9 +71,14 @@
 	if refusal := s.examine(statements); refusal != nil {
 		return s.refuseBatch(refusal)
 	}
-	if _, replaces := s.state.statements[m.Name]; !replaces && len(s.state.statements) >= s.server.Limits.Statements {
+	limits := s.server.Limits
+	if _, replaces := s.state.statements[m.Name]; !replaces && len(s.state.statements) >= limits.Statements {
 		return s.refuseBatch(proxy.Refuse(proxy.ConfigurationLimit,
-			"too many prepared statements: at most %d", s.server.Limits.Statements))
+			"too many prepared statements: at most %d", limits.Statements))
+	}
+	if m.Name != "" && s.state.prepared+len(m.Query) > limits.Prepared {
+		return s.refuseBatch(proxy.Refuse(proxy.ConfigurationLimit,
+			"prepared statements are too long: at most %d bytes in all", limits.Prepared))
 	}
 	d := &definition{name: m.Name, query: m.Query, oids: slices.Clone(m.ParameterOIDs), statements: statements}
 	r := request{kind: askParse, name: m.Name, definition: d, previous: s.state.define(d)}
@@ -106,7 +111,7 @@
 	switch m.ObjectType {
 	case 'S':
 		previous := s.state.statements[m.Name]
-		delete(s.state.statements, m.Name)
+		s.state.undefine(m.Name, nil)
 		return s.stage(m, request{kind: askClose, name: m.Name, previous: previous})
 	case 'P':
 		return s.stage(m, request{kind: askClose})
@@ -242,7 +247,7 @@
 // reparse sends the prepared statements that the batch uses and that the
 // loan's connection does not have.
 func (s *session) reparse() {
-	seen := make(map[string]bool)
+	var seen map[string]bool
 	for _, r := range s.batch.requests {
 		d := r.definition
 		switch r.kind {
@@ -260,7 +265,12 @@
 		if d != nil && !seen[r.name] && s.loan.state.parsed[r.name] != d {
 			s.reparseOne(d)
 		}
-		seen[r.name] = true
+		if seen == nil && len(s.batch.requests) > 1 {
+			seen = make(map[string]bool)
+		}
+		if seen != nil {
+			seen[r.name] = true
+		}
 	}
 }
 
--- a/internal/front/failure_test.go
+++ b/internal/front/failure_test.go
@@ -122,6 +122,29 @@
 	is.Equal(<-forwarded, uint32(2))
 }
 
+// TestCancelWhileWaiting guards against clients that cannot take back a request
+// that waits for a connection.
+func TestCancelWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	waits := make(waiting)
+	w := start(t, func(w *world) { w.Lender = waits })
+	conn := w.session("orders", "")
+	result := make(chan []string)
+	go func() { result <- run(conn, "select 1") }()
+	<-waits
+	is.NoErr(conn.PgConn().CancelRequest(background))
+	is.Equal(<-result, []string{"57014 not run"})
+}
+
+// waiting is a Lender that never lends and tells when it is asked.
+type waiting chan struct{}
+
+func (w waiting) Lend(ctx context.Context, _ proxy.Ask) (proxy.Loan, error) {
+	w <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 type forward chan uint32
 
 func (f forward) Forward(_ context.Context, host, _ uint32, _ []byte) error {
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -10,6 +10,9 @@
 	Message int
 	// Statements is the number of prepared statements of a session.
 	Statements int
+	// Prepared is the length of the named prepared statements of a session in
+	// bytes, all together.
+	Prepared int
 	// Settings is the number of settings that a session has changed.
 	Settings int
 	// Authentication limits the time from accept to ReadyForQuery.
@@ -18,8 +21,8 @@
 	Idle time.Duration
 	// Patience limits the wait for a loan on routes without a timeout.
 	Patience time.Duration
-	// Cancel is the time between the cancel of a statement that exceeds its
-	// route's timeout and the broken release.
+	// Cancel limits a cancel request to an instance. After it, the connection
+	// of a statement that exceeds its route's timeout is closed.
 	Cancel time.Duration
 	// Grace is how long running transactions may take after Run's context ends.
 	Grace time.Duration
@@ -31,6 +34,7 @@
 	defaultSessions       = 20_000
 	defaultMessage        = 64 << 20 // bytes
 	defaultStatements     = 1_000
+	defaultPrepared       = 16 << 20 // bytes
 	defaultSettings       = 200
 	defaultAuthentication = 10 * time.Second
 	defaultIdle           = 5 * time.Minute
@@ -44,6 +48,7 @@
 	fill(&l.Sessions, defaultSessions)
 	fill(&l.Message, defaultMessage)
 	fill(&l.Statements, defaultStatements)
+	fill(&l.Prepared, defaultPrepared)
 	fill(&l.Settings, defaultSettings)
 	fill(&l.Authentication, defaultAuthentication)
 	fill(&l.Idle, defaultIdle)
--- a/internal/front/loan.go
+++ b/internal/front/loan.go
@@ -55,11 +55,9 @@
 		Session:  s.id,
 		Revision: s.grant.revision,
 	}
-	ctx, stop := context.WithTimeout(s.ctx, patience)
-	defer stop()
-	loan, err := s.server.Lender.Lend(ctx, ask)
+	loan, err := s.lend(ask)
 	if err != nil {
-		return s.notLent(err, patience)
+		return err
 	}
 	taken := &borrowed{Loan: loan, access: access, group: route.Group, frontend: loan.Frontend(), lent: loan.Lent()}
 	s.mu.Lock()
@@ -79,6 +77,27 @@
 	return s.restore()
 }
 
+// lend waits for a loan until the ask's patience ends, the client cancels its
+// request or the session ends.
+func (s *session) lend(ask proxy.Ask) (proxy.Loan, error) {
+	ctx, stop := context.WithTimeout(s.ctx, ask.Patience)
+	defer stop()
+	s.mu.Lock()
+	s.unlend = stop
+	s.mu.Unlock()
+	loan, err := s.server.Lender.Lend(ctx, ask)
+	s.mu.Lock()
+	s.unlend = nil
+	s.mu.Unlock()
+	if err == nil {
+		return loan, nil
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		err = proxy.Refuse(proxy.QueryCanceled, "canceled while waiting for a connection to an instance")
+	}
+	return nil, s.notLent(err, ask.Patience)
+}
+
 // notLent returns the refusal of a request for which there is no loan.
 func (s *session) notLent(err error, patience time.Duration) error {
 	s.mu.Lock()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -46,6 +48,7 @@
 	once    sync.Once
 
 	mu       sync.Mutex
+	starting map[net.Conn]struct{}
 	sessions map[uint32]*session // by the process number in the key data
 	next     uint32
 	draining bool
@@ -63,6 +66,7 @@
 			s.Registry = metrics.NewRegistry()
 		}
 		s.metrics.register(s.Registry)
+		s.starting = make(map[net.Conn]struct{})
 		s.sessions = make(map[uint32]*session)
 	})
 }
@@ -87,21 +91,30 @@
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if isTemporary(err) && ctx.Err() == nil {
-				s.Logger.Warn().Err(err).Msg("accept client")
-				continue
+			if !isTemporary(err) || ctx.Err() != nil {
+				return fmt.Errorf("listener: %w", err)
 			}
-			return fmt.Errorf("listener: %w", err)
+			s.Logger.Warn().Err(err).Msg("accept client")
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.served.Add(1)
 		go s.serve(conn)
 	}
 }
 
-// isTemporary reports errors that concern one connection only.
+// acceptPause lets connections end after a lack of resources.
+const acceptPause = 20 * time.Millisecond
+
+// isTemporary reports errors that concern one connection or pass when others
+// have ended.
 func isTemporary(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && !errors.Is(err, net.ErrClosed) && op.Timeout()
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
 }
 
 // serve runs one client connection to its end.
@@ -109,7 +122,12 @@
 	defer s.served.Done()
 	defer func() { _ = conn.Close() }()
 	s.metrics.accepted.Inc(1)
+	if !s.enter(conn) {
+		s.metrics.rejected.Inc(1)
+		return
+	}
 	session, err := s.start(conn)
+	s.leave(conn)
 	if err != nil {
 		s.metrics.rejected.Inc(1)
 		s.Logger.Debug().Err(err).Msg("client not admitted")
@@ -121,6 +139,26 @@
 	session.run()
 }
 
+// enter notes a client that is not authenticated yet. It reports false where
+// there are as many as may be sessions, or the server is shutting down.
+func (s *Server) enter(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || len(s.starting) >= s.Limits.Sessions {
+		return false
+	}
+	s.starting[conn] = struct{}{}
+	_ = conn.SetDeadline(time.Now().Add(s.Limits.Authentication))
+	return true
+}
+
+// leave ends the startup of a client. A session has no deadline.
+func (s *Server) leave(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.starting, conn)
+}
+
 // register enters a session and gives it its key data.
 func (s *Server) register(session *session) *proxy.Refusal {
 	var id [8]byte
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -50,6 +50,7 @@
 	open     bool // a transaction is open
 	draining bool
 	timer    *timer
+	unlend   context.CancelFunc // ends the wait for a loan; nil while there is none
 
 	// owned
 	status   byte
@@ -193,10 +194,27 @@
 	if s.skipping {
 		return nil
 	}
-	s.begin()
 	switch m := message.(type) {
 	case *pgproto3.Query:
+		s.begin()
 		return s.query(m.String)
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		s.begin()
+		return s.handleExtended(message)
+	case *pgproto3.Flush:
+		return s.flushBatch()
+	case *pgproto3.FunctionCall:
+		return s.refuseQuery(proxy.Refuse(proxy.FeatureNotSupported, "function calls by protocol message are not supported"))
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // the rest of a COPY that has failed
+	}
+	return &fatal{proxy.Refuse(proxy.ProtocolViolation, "unexpected message %T", message)}
+}
+
+// handleExtended carries out a message of the extended protocol that the
+// instance is to answer.
+func (s *session) handleExtended(message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
 	case *pgproto3.Parse:
 		return s.parse(m)
 	case *pgproto3.Bind:
@@ -207,14 +225,8 @@
 		return s.execute(m)
 	case *pgproto3.Close:
 		return s.closeObject(m)
-	case *pgproto3.Flush:
-		return s.flushBatch()
-	case *pgproto3.FunctionCall:
-		return s.refuseQuery(proxy.Refuse(proxy.FeatureNotSupported, "function calls by protocol message are not supported"))
-	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
-		return nil // the rest of a COPY that has failed
 	}
-	return &fatal{proxy.Refuse(proxy.ProtocolViolation, "unexpected message %T", message)}
+	return nil
 }
 
 // finish tells the client why the session ends, rolls back an open transaction
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -33,6 +33,9 @@
 	version    uint64 // counts committed changes
 	changes    []statement.Statement
 	savepoints []savepoint
+	// reset reports that a connection may lack the settings of the startup
+	// message, because the session has reset its settings there.
+	reset bool
 }
 
 var (
@@ -47,7 +50,7 @@
 func startupSettings(parameters map[string]string) ([]setting, error) {
 	var base []setting
 	for name, value := range parameters {
-		if slices.Contains(connectionParameters, name) || strings.HasPrefix(name, "_pq_.") {
+		if slices.Contains(connectionParameters, name) || strings.HasPrefix(name, protocolOption) {
 			continue
 		}
 		base = append(base, setting{name: strings.ToLower(name), value: value})
@@ -210,10 +213,13 @@
 	switch change.Kind {
 	case statement.ResetAll, statement.Discard:
 		s.set = nil
+		s.reset = true
 		return
+	case statement.Reset:
+		s.reset = true
 	}
 	s.set = slices.DeleteFunc(s.set, func(one setting) bool { return one.name == change.Name })
 	if change.Kind == statement.Set {
-		s.set = append(s.set, setting{name: change.Name, value: change.Value, text: change.Text})
+		s.set = append(s.set, setting{name: change.Name, value: change.Value, text: strings.Clone(change.Text)})
 	}
 }
--- a/internal/front/shutdown.go
+++ b/internal/front/shutdown.go
@@ -18,6 +18,9 @@
 func (s *Server) shutdown() {
 	s.mu.Lock()
 	s.draining = true
+	for conn := range s.starting {
+		_ = conn.SetDeadline(time.Unix(1, 0))
+	}
 	s.mu.Unlock()
 	refusal := proxy.Refuse(proxy.AdminShutdown, "the proxy is shutting down")
 	for _, session := range s.all() {
--- a/internal/front/simple.go
+++ b/internal/front/simple.go
@@ -49,7 +49,7 @@
 
 // dropUnnamed forgets the unnamed statement, which a Query message drops.
 func (s *session) dropUnnamed() {
-	delete(s.state.statements, "")
+	s.state.undefine("", nil)
 	delete(s.loan.state.parsed, "")
 }
 
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -28,12 +30,29 @@
 	gssCode    = 80877104
 )
 
+// protocolOption starts the names of startup parameters that are no settings.
+const protocolOption = "_pq_."
+
 // maxNegotiations is one SSLRequest and one GSSENCRequest.
 const maxNegotiations = 2
 
 // maxAuthenticationLength bounds messages of clients that are not yet known.
 const maxAuthenticationLength = 16 << 10 // bytes
 
+// known returns the packet with the newest known version in place of a newer
+// minor version. NegotiateProtocolVersion tells the client.
+func (p packet) known() packet {
+	code := p.code()
+	if code == pgproto3.ProtocolVersion30 || code == pgproto3.ProtocolVersion32 {
+		return p
+	}
+	version := uint32(pgproto3.ProtocolVersion32)
+	if code < version {
+		version = pgproto3.ProtocolVersion30
+	}
+	return append(binary.BigEndian.AppendUint32(nil, version), p[4:]...)
+}
+
 // packet is a startup packet without its length.
 type packet []byte
 
@@ -65,7 +84,6 @@
 // start takes a connection to an authenticated session. It returns neither a
 // session nor an error after a cancel request.
 func (s *Server) start(conn net.Conn) (*session, error) {
-	_ = conn.SetDeadline(time.Now().Add(s.Limits.Authentication))
 	conn, body, err := s.negotiate(conn)
 	if err != nil {
 		return nil, reject(conn, err)
@@ -126,6 +144,7 @@
 	}
 	backend := pgproto3.NewBackend(conn, conn)
 	backend.SetMaxBodyLen(maxAuthenticationLength)
+	announceVersion(backend, body.code(), startup)
 	identity, err := s.identify(conn, backend, startup)
 	if err != nil {
 		return nil, err
@@ -142,11 +161,32 @@
 	return session, nil
 }
 
+// announceVersion tells the client where the server knows neither its minor
+// version nor its protocol options.
+func announceVersion(backend *pgproto3.Backend, asked uint32, startup *pgproto3.StartupMessage) {
+	var unknown []string
+	for name := range startup.Parameters {
+		if strings.HasPrefix(name, protocolOption) {
+			unknown = append(unknown, name)
+		}
+	}
+	if asked == startup.ProtocolVersion && len(unknown) == 0 {
+		return
+	}
+	slices.Sort(unknown)
+	backend.Send(&pgproto3.NegotiateProtocolVersion{
+		// Servers send the whole version here, and clients expect it.
+		NewestMinorProtocol: startup.ProtocolVersion,
+		UnrecognizedOptions: unknown,
+	})
+}
+
 // decodeStartup checks a startup message.
 func decodeStartup(body packet) (*pgproto3.StartupMessage, error) {
 	if code := body.code(); code>>16 != pgproto3.ProtocolVersion30>>16 {
 		return nil, proxy.Refuse(proxy.ProtocolViolation, "protocol version %d.%d: want 3.0", code>>16, code&0xffff)
 	}
+	body = body.known()
 	message := &pgproto3.StartupMessage{}
 	if err := message.Decode(body); err != nil {
 		return nil, proxy.Refuse(proxy.ProtocolViolation, "malformed startup message: %v", err)
--- a/internal/front/startup_test.go
+++ b/internal/front/startup_test.go
@@ -116,6 +116,27 @@
 	is.True(!strings.Contains(log.String(), "horse"))
 }
 
+// TestNewerProtocol guards against clients with a newer minor version that are
+// turned away, or that do not learn of the older one.
+func TestNewerProtocol(t *testing.T) {
+	is := is.New(t)
+	w := start(t)
+	conn, err := net.Dial("tcp", w.address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(packet(-1, 3<<16|9, "user\x00a\x00database\x00open\x00_pq_.x\x00y\x00\x00"))
+	is.NoErr(err)
+	frontend := pgproto3.NewFrontend(conn, conn)
+	message, err := frontend.Receive()
+	is.NoErr(err)
+	negotiation, ok := message.(*pgproto3.NegotiateProtocolVersion)
+	is.True(ok)
+	is.Equal(negotiation.NewestMinorProtocol, uint32(pgproto3.ProtocolVersion32))
+	is.Equal(negotiation.UnrecognizedOptions, []string{"_pq_.x"})
+	got := w.replies(frontend, 1)
+	is.Equal(got[len(got)-1], "ready I")
+}
+
 // TestNoDocument guards against a host that serves without a configuration.
 func TestNoDocument(t *testing.T) {
 	w := start(t, func(w *world) { w.document, w.revision = nil, 0 })
--- a/internal/front/state.go
+++ b/internal/front/state.go
@@ -35,6 +35,8 @@
 	statements map[string]*definition
 	// portals are those of the current transaction.
 	portals map[string]*definition
+	// prepared is the length of the prepared statements in bytes.
+	prepared int
 	// used reports that a statement was prepared at any time.
 	used        bool
 	connections map[uint64]*connectionState
@@ -54,25 +56,41 @@
 	if s.statements == nil {
 		s.statements = make(map[string]*definition)
 	}
-	s.statements[d.name] = d
+	s.undefine(d.name, d)
 	s.used = true
 	return previous
 }
 
 // undefine puts the previous definition of a name back; nil removes the name.
 func (s *sessionState) undefine(name string, previous *definition) {
+	if current := s.statements[name]; current != nil {
+		s.prepared -= len(current.query)
+	}
 	if previous == nil {
 		delete(s.statements, name)
 		return
 	}
+	s.prepared += len(previous.query)
 	s.statements[name] = previous
 }
 
+// forgetAll removes all prepared statements.
+func (s *sessionState) forgetAll(on *connectionState) {
+	clear(s.statements)
+	clear(on.parsed)
+	s.prepared = 0
+}
+
 // settle remembers the state in which a connection is given back.
 func (s *sessionState) settle(loan *borrowed) {
 	if loan.state == nil || loan.lent.Connection == 0 {
 		return
 	}
+	if s.reset {
+		s.reset = false
+		delete(s.connections, loan.lent.Connection)
+		return
+	}
 	loan.state.version = s.version
 	if s.connections == nil {
 		s.connections = make(map[uint64]*connectionState)
@@ -94,15 +112,13 @@
 	s.settings.ran(done, tag)
 	switch done.Kind {
 	case statement.Discard:
-		clear(s.statements)
-		clear(on.parsed)
+		s.forgetAll(on)
 	case statement.Deallocate:
 		if done.Name == "" {
-			clear(s.statements)
-			clear(on.parsed)
+			s.forgetAll(on)
 			return
 		}
-		delete(s.statements, done.Name)
+		s.undefine(done.Name, nil)
 		delete(on.parsed, done.Name)
 	}
 }
--- a/internal/statement/refusal.go
+++ b/internal/statement/refusal.go
@@ -25,6 +25,11 @@
 	if chains(tokens) {
 		return "COMMIT AND CHAIN"
 	}
+	return patterns(tokens)
+}
+
+// patterns finds what is refused anywhere in a statement.
+func patterns(tokens []token) string {
 	for i, t := range tokens {
 		switch {
 		case t.is("create") && createsTemporary(tokens[i+1:]):
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -53,9 +53,12 @@
 	var statements []Statement
 	l := &lexer{input: input}
 	for {
-		tokens, more := l.statement()
+		tokens, reason, more := l.statement()
 		if len(tokens) > 0 {
 			s := classify(tokens)
+			if reason != "" {
+				s = Statement{Kind: Refused, Reason: reason}
+			}
 			s.Text = input[tokens[0].start:tokens[len(tokens)-1].end]
 			statements = append(statements, s)
 		}
@@ -65,19 +68,42 @@
 	}
 }
 
-// statement returns the tokens up to a semicolon, and whether text may follow.
-// The semicolons of an SQL function body (BEGIN ATOMIC ... END) are part of the
-// statement that contains it.
-func (l *lexer) statement() ([]token, bool) {
-	var tokens []token
+// Of a long statement only the first and the last tokens are kept, so that the
+// memory for a text does not exceed a small multiple of its length.
+const (
+	headTokens = 128
+	tailTokens = 16
+	maxTokens  = 1024
+)
+
+// shorten examines tokens and drops those in the middle. A separator keeps the
+// rest from being read across the gap.
+func shorten(tokens []token) ([]token, string) {
+	reason := patterns(tokens)
+	tail := tokens[len(tokens)-tailTokens:]
+	separator := token{kind: symbol, value: "...", start: tail[0].start, end: tail[0].start}
+	return append(append(tokens[:headTokens], separator), tail...), reason
+}
+
+// statement returns the tokens up to a semicolon, the reason to refuse tokens
+// that it dropped, and whether text may follow. The semicolons of an SQL
+// function body (BEGIN ATOMIC ... END) are part of the statement that contains
+// it.
+func (l *lexer) statement() (tokens []token, reason string, more bool) {
 	depth := 0
 	for {
 		t, ok := l.next()
 		if !ok {
-			return tokens, false
+			return tokens, reason, false
 		}
 		if t.isSymbol(";") && depth == 0 {
-			return tokens, true
+			return tokens, reason, true
+		}
+		if len(tokens) == maxTokens {
+			var found string
+			if tokens, found = shorten(tokens); found != "" {
+				reason = found
+			}
 		}
 		switch {
 		case t.is("atomic") && len(tokens) > 1 && tokens[len(tokens)-1].is("begin") && tokens[0].is("create"):
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// TestLongStatement guards against memory that grows with a multiple of a
+// statement's length, and against refused functions in its middle.
+func TestLongStatement(t *testing.T) {
+	is := is.New(t)
+	long := "select " + strings.Repeat("1,", 100_000)
+	is.Equal(describe(statement.Classify(long+"2; commit")), "other; commit")
+	for n := 900; n < 1100; n++ {
+		text := "select " + strings.Repeat("1,", n) + "pg_advisory_lock(1)" + strings.Repeat(",1", 2000)
+		is.Equal(describe(statement.Classify(text)), "refused")
+	}
+	is.True(testing.AllocsPerRun(5, func() { statement.Classify(long) }) < 1000)
+}
+
 // FuzzClassify guards against texts that crash the lexer, and against
 // statements that do not lie in the text in order.
 func FuzzClassify(f *testing.F) {
