--- a/internal/emulator/instance/transaction_test.go
+++ b/internal/emulator/instance/transaction_test.go
@@ -146,6 +146,10 @@
 	is.Equal(text(t, c, "SELECT count(*)::text FROM kv"), "0")
 	run(t, c, "SET application_name = 'changed'")
 	is.Equal(c.PgConn().ParameterStatus("application_name"), "changed")
+	run(t, c, "RESET SESSION AUTHORIZATION;RESET ALL")
+	is.Equal(c.PgConn().ParameterStatus("application_name"), "")
+	is.Equal(text(t, c, "SHOW session_authorization"), "system")
+	run(t, c, "SET application_name = 'changed'")
 	run(t, c, "DISCARD ALL")
 	is.Equal(c.PgConn().ParameterStatus("application_name"), "")
 }
