--- a/pkg/proxy/promotion/fault_test.go
+++ b/pkg/proxy/promotion/fault_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
@@ -12,7 +13,7 @@
 		w.killInstance, w.killHost, w.pauseHost, w.cutHost, w.cutPlatform, w.cutHosts,
 		w.cutInstances, w.isolate, w.isolateFromHosts, w.outage, w.slowPlatform,
 		w.loseAnswers, w.lagReplica, w.lagAll, w.hangConnection, w.cutOneWay, w.slowLink,
-		w.askChange, w.split, w.split, w.strand, w.strand,
+		w.askChange, w.split, w.split, w.strand, w.strand, w.changeMembers,
 	}
 }
 
@@ -192,6 +193,18 @@
 	w.block(f.instance.name(), f.host.name(), false, f.lasts)
 }
 
+// changeMembers removes instances from the document and adds them again.
+func (w *world) changeMembers(f fault) {
+	all := w.document.Groups[0].Instances
+	if len(all) < len(w.instances) || len(all) < 3 {
+		return
+	}
+	some := slices.Clone(all)
+	w.rng.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	w.configure(some[:2+w.rng.IntN(len(some)-1)])
+	w.after(f.lasts, func() { w.configure(all) })
+}
+
 // slowLink delays the traffic between a host and all instances.
 func (w *world) slowLink(f fault) {
 	slow := w.between(0, probeTimeout)
--- a/pkg/proxy/promotion/plan.go
+++ b/pkg/proxy/promotion/plan.go
@@ -7,10 +7,6 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// drainMargin is how much longer than DrainFor the other hosts hold new writes,
-// so that they do not resume while the change is under way.
-const drainMargin = 2
-
 // maxPlanDoublings bounds the wait between two tries of a planned change.
 const maxPlanDoublings = 6
 
@@ -31,7 +27,10 @@
 	again    proxy.Instant
 	tries    uint
 	heldTo   proxy.Instant
-	probeAt  proxy.Instant
+	// other and otherSerial identify the last try of another host.
+	other       proxy.HostID
+	otherSerial uint64
+	probeAt     proxy.Instant
 }
 
 // postpone ends a try and sets the time of the next.
@@ -41,9 +40,21 @@
 	p.tries++
 }
 
+// join counts another host's try as one of this host's own, so that the hosts
+// together hold writes no more often than one would. A try of this host yields
+// to that of a host of higher rank.
+func (p *plan) join(s *step, from proxy.HostID, serial uint64, higher bool) {
+	same := p.other == from && p.otherSerial == serial
+	if same || (p.active && !higher) {
+		return
+	}
+	p.other, p.otherSerial = from, serial
+	p.postpone(s)
+}
+
 // target returns the instance that the object or the document wants as primary,
 // or nothing if it leads already. A primary that the document marks as leaving
-// is replaced by the replica with the highest position that is not.
+// or lacks is replaced by the replica with the highest position that is not.
 func (g *group) target(s *step) proxy.InstanceID {
 	wanted := g.object.Next
 	if wanted == "" && s.machine.revision > g.object.Revision {
@@ -60,9 +71,10 @@
 	return wanted
 }
 
-// leaving reports whether the document marks the instance as leaving.
+// leaving reports whether the document marks the instance as leaving or does not
+// contain it.
 func (g *group) leaving(instance proxy.InstanceID) bool {
-	return slices.ContainsFunc(g.declared.Instances, func(i proxy.Instance) bool { return i.ID == instance && i.Leaving })
+	return !slices.ContainsFunc(g.declared.Instances, func(i proxy.Instance) bool { return i.ID == instance && !i.Leaving })
 }
 
 // heir returns the replica with the highest position that is not leaving.
@@ -81,6 +93,10 @@
 
 // change advances a planned change.
 func (g *group) change(s *step) {
+	if g.attempt != nil && g.attempt.target != "" {
+		g.ask(s)
+		return
+	}
 	target := g.target(s)
 	if target == "" || g.attempt != nil || g.put != nil || g.alarm.raised {
 		g.plan.active = false
@@ -163,12 +179,14 @@
 	}
 }
 
-// drain holds new writes for another host's planned change.
+// drain holds new writes for another host's planned change, which repeats the
+// request until it has ended.
 func (g *group) drain(s *step, from proxy.HostID, d *Drain) {
 	if g.object == nil || d.Term != g.object.Term || !slices.Contains(g.hosts, from) {
 		return
 	}
-	g.plan.heldTo = s.now.Add(drainMargin * s.timing.DrainFor)
+	g.plan.join(s, from, d.Serial, slices.Index(g.hosts, from) < g.rank)
+	g.plan.heldTo = s.now.Add(s.timing.DrainFor)
 	s.emit(proxy.Send{To: from, Message: &Drained{Group: g.id, Term: d.Term, Serial: d.Serial, Writes: g.writing}})
 }
 
--- a/pkg/proxy/promotion/scenario_test.go
+++ b/pkg/proxy/promotion/scenario_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -139,19 +140,46 @@
 	}
 }
 
+// TestPlannedChangeBlocked guards against holding writes for longer than 500 ms,
+// or again and again by every host in turn, while a write does not end.
+func TestPlannedChangeBlocked(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 1, 3)
+	w.hosts[2].count(1)
+	w.nameNext(w.instances[2])
+	refused := w.stats.refused
+	w.run(warmUp + 7*time.Second)
+	w.report(t)
+	is.Equal(w.primary().id, proxy.InstanceID("i0"))
+	is.True(w.unavailable() <= 500*time.Millisecond)
+	// Three tries in seven seconds, 400 ms each, of writes every 20 ms on four hosts.
+	is.True(w.stats.refused-refused <= 3*4*400/20)
+	w.hosts[2].count(-1)
+	w.run(warmUp + 20*time.Second)
+	w.report(t)
+	is.Equal(w.primary().id, proxy.InstanceID("i2"))
+	is.Equal(w.stats.doubts+w.stats.given, 0)
+}
+
 // declare puts a new document in force on all hosts, at different times.
 func (w *world) declare(edit func(i *proxy.Instance)) {
-	g := w.document.Groups[0]
-	g.Instances = append([]proxy.Instance(nil), g.Instances...)
-	for n := range g.Instances {
-		edit(&g.Instances[n])
+	instances := slices.Clone(w.document.Groups[0].Instances)
+	for n := range instances {
+		edit(&instances[n])
 	}
+	w.configure(instances)
+}
+
+// configure puts a document with the given instances in force.
+func (w *world) configure(instances []proxy.Instance) {
+	g := w.document.Groups[0]
+	g.Instances = instances
 	w.document = &proxy.Document{Groups: []proxy.Group{g}}
 	w.revision++
 	document, revision := w.document, w.revision
 	for _, h := range w.hosts {
 		w.after(w.between(0, time.Second), func() {
-			h.handle(promotion.Configured{Document: document, Revision: revision})
+			h.do(h.life, func() { h.handle(promotion.Configured{Document: document, Revision: revision}) })
 		})
 	}
 }
--- a/pkg/proxy/promotion/timing.go
+++ b/pkg/proxy/promotion/timing.go
@@ -42,7 +42,8 @@
 	// doubles with each promotion until CalmAfter passes without one.
 	HoldBase, HoldLimit, CalmAfter time.Duration
 	// DrainFor limits how long new writes wait for running ones in a planned
-	// change, and PlanAgain is the wait before the next try; it doubles.
+	// change, and how long a host holds them after the last request of another.
+	// PlanAgain is the wait before the next try; it doubles.
 	DrainFor, PlanAgain time.Duration
 }
 
