Ask few peers for what an account lacks and measure refusals

Rounds of requests start at multiples of their duration and renew what was ceded; the rest is asked of one peer after the other. BenchmarkRefusals compares with one bucket over the fleet and with static equal shares.

--- a/pkg/proxy/limit/bucket.go
+++ b/pkg/proxy/limit/bucket.go
@@ -55,6 +55,12 @@
 	until proxy.Instant
 }
 
+// scarcity tells that a peer has nothing to cede until an instant.
+type scarcity struct {
+	at    proxy.HostID
+	until proxy.Instant
+}
+
 // peer is one life of another host.
 type peer struct {
 	host        proxy.HostID
@@ -91,10 +97,9 @@
 	demand   demand
 	// round is the instant of the latest round of requests to all givers, and
 	// asked the need at that time.
-	round proxy.Instant
-	asked part
-	// begged is the instant of the latest request for tokens alone.
-	begged proxy.Instant
+	round  proxy.Instant
+	asked  part
+	scarce []scarcity
 }
 
 // advance counts the tokens up to now. Parts that ended meanwhile count up to
@@ -222,14 +227,14 @@
 	return 0, true
 }
 
-// refill is the time until the bucket holds one token.
+// refill is the time until the bucket holds one token: from its own rate, or
+// from peers at the pace of the whole account and after one exchange.
 func (b *bucket) refill() time.Duration {
-	rate := b.used.rate
-	if rate == 0 || b.used.burst < unit {
-		// Tokens come from peers, at the pace of the whole account.
-		rate = max(b.whole.rate, 1)
+	lack := float64(unit-b.level) * float64(time.Second)
+	wait := lack/float64(max(b.whole.rate, 1)) + float64(exchangeTime)
+	if b.used.rate > 0 && b.used.burst >= unit {
+		wait = min(wait, lack/float64(b.used.rate))
 	}
-	wait := float64(unit-b.level) / float64(rate) * float64(time.Second)
 	return time.Duration(min(max(wait, float64(time.Millisecond)), float64(maxRetryAfter)))
 }
 
--- a/pkg/proxy/limit/cede.go
+++ b/pkg/proxy/limit/cede.go
@@ -16,15 +16,24 @@
 	free := b.own(until).minus(b.given(now, &to))
 	keep := b.keep()
 	spare := free.minus(keep).atLeast(part{})
-	// Half of the burst stays, so that tokens are left for other hosts if the
-	// receiver fails.
-	spare.burst /= 2
+	// An active host keeps its burst. Of another's, most stays so that tokens
+	// are left for other hosts if the receiver fails.
+	spare.burst /= 4
+	if b.demand.active() {
+		spare.burst = 0
+	}
 	gets := part{want.Rate, want.Burst}.atMost(spare)
 	most := gets.atLeast(earlier)
-	tokens := max(0, min(want.Tokens, b.level-b.demand.tokens(keep)))
+	tokens := min(want.Tokens, b.level)
+	if b.demand.active() {
+		tokens = max(0, min(tokens, (b.level-want.Level)/2))
+	}
+	// Tokens that the smaller bucket cannot hold go along with the burst.
+	growth := most.burst - earlier.burst
+	tokens = max(tokens, min(growth, b.level-max(0, free.burst-most.burst)))
 	// Until the tokens arrive the peer's bucket is no larger than the earlier
 	// part allows; tokens beyond the difference need burst of their own.
-	flight := max(0, tokens-(most.burst-earlier.burst))
+	flight := max(0, tokens-growth)
 	if room := max(0, free.burst-most.burst); flight > room {
 		tokens -= flight - room
 		flight = room
@@ -39,7 +48,23 @@
 		flight: flight, landed: now.Add(proxy.GranterTime(accept)),
 	})
 	b.settle(now)
-	return Want{Account: b.account, Rate: gets.rate, Burst: gets.burst, Tokens: tokens}
+	granted := Want{Account: b.account, Rate: gets.rate, Burst: gets.burst, Tokens: tokens}
+	if want.Rate > 0 && gets.rate == 0 {
+		granted.Again = b.again(now, to)
+	}
+	return granted
+}
+
+// again is the time until a part that is ceded to another peer ends, or
+// scarceTime where the host needs its own part.
+func (b *bucket) again(now proxy.Instant, to peer) time.Duration {
+	wait := scarceTime
+	for i := range b.ceded {
+		if c := &b.ceded[i]; c.to != to && c.part.rate > 0 && c.until > now {
+			wait = min(wait, c.until.Sub(now))
+		}
+	}
+	return wait
 }
 
 // keep is the part that the host needs for its own requests.
@@ -66,53 +91,57 @@
 	}
 	b.level += gets.Tokens
 	b.settle(now)
+	b.scarce = slices.DeleteFunc(b.scarce, func(s scarcity) bool { return s.at == from || s.until <= now })
+	if gets.Again > 0 {
+		until := now.Add(gets.Again)
+		if gets.Again >= scarceTime {
+			until -= until % proxy.Instant(scarceTime)
+		}
+		b.scarce = append(b.scarce, scarcity{at: from, until: until})
+	}
 }
 
 // due reports whether the host asks all givers for what the account lacks: at
-// each round, and earlier when the need has grown by half.
+// each round, and earlier when the need has grown by half. Rounds start at
+// multiples of their duration, so that accounts share messages.
 func (b *bucket) due(now proxy.Instant, round time.Duration) bool {
-	need := b.demand.need(b.whole)
-	since := now.Sub(b.round)
-	if b.round != 0 && since < round {
-		return since >= growAgain && need.rate > b.asked.rate+b.asked.rate/2
+	short := int64(1.05*b.demand.rate*float64(unit)) > b.used.rate && b.demand.active()
+	if b.round != 0 && now/proxy.Instant(round) == b.round/proxy.Instant(round) {
+		grown := b.asked.rate + b.asked.rate/2 + b.whole.rate/8
+		return short && now.Sub(b.round) >= growAgain && b.demand.need(b.whole).rate > grown
 	}
-	lack := need.minus(b.used)
-	return lack.rate > 0 || lack.burst > 0 || b.got != part{}
+	return short || b.got != part{}
 }
 
-// want computes what to ask of one of several peers in a round.
-func (b *bucket) want(from proxy.HostID, peers int) Want {
-	var have part
+// want computes what to ask of a peer in a round, given the rate that is still
+// lacking and not asked of others. What the peer ceded already is renewed.
+func (b *bucket) want(now proxy.Instant, from proxy.HostID, lack *int64, share int64) Want {
+	w := Want{Account: b.account}
+	if slices.ContainsFunc(b.scarce, func(s scarcity) bool { return s.at == from && s.until > now }) {
+		return w
+	}
 	for i := range b.received {
 		if b.received[i].from == from {
-			have = b.received[i].part
+			w.Rate = b.received[i].part.rate
 		}
 	}
-	lack := b.demand.need(b.whole).minus(b.used)
-	return Want{
-		Account: b.account,
-		Rate:    wantOf(lack.rate, have.rate, b.got.rate, peers),
-		Burst:   wantOf(lack.burst, have.burst, b.got.burst, peers),
-	}
-}
-
-// wantOf spreads what is lacking over the peers, or what is not needed any more.
-// The factor lets some peers make up for others that can cede nothing.
-func wantOf(lack, have, got int64, peers int) int64 {
-	if lack > 0 {
-		return min(maxAmount, have+2*lack/int64(peers))
-	}
-	if got == 0 {
-		return 0
+	if *lack > 0 {
+		more := min(*lack, max(0, share-w.Rate))
+		*lack -= more
+		w.Rate += more
+	} else if b.got.rate > 0 {
+		w.Rate = int64(float64(w.Rate) * max(0, float64(b.got.rate+*lack)) / float64(b.got.rate))
 	}
-	return int64(float64(have) * max(0, float64(got+lack)) / float64(got))
+	w.Burst = int64(float64(w.Rate) * float64(b.whole.burst) / float64(max(1, b.whole.rate)))
+	return w
 }
 
-// lackOfTokens returns the tokens that the host asks for beside its parts.
-func (b *bucket) lackOfTokens() int64 {
-	low := b.demand.low()
-	if b.level >= low {
-		return 0
+// lackOfTokens returns the tokens that the host asks for beside its parts, and
+// whether the next request may be refused without them.
+func (b *bucket) lackOfTokens() (lack int64, urgent bool) {
+	soon := b.demand.urgent()
+	if b.level >= max(soon, min(b.demand.low(), b.used.burst/4)) {
+		return 0, false
 	}
-	return max(0, min(2*low, b.used.burst)-b.level)
+	return max(0, b.used.burst-b.level), b.level < soon
 }
--- a/pkg/proxy/limit/demand.go
+++ b/pkg/proxy/limit/demand.go
@@ -10,7 +10,7 @@
 const (
 	// demandTime is the time constant with which the measured demand follows a
 	// decrease.
-	demandTime = 4 * time.Second
+	demandTime = 6 * time.Second
 	// riseTime is the time constant for an increase.
 	riseTime = 500 * time.Millisecond
 	// idle is the demand, in requests a second, below which an account is not
@@ -19,6 +19,8 @@
 	// horizon is the time whose requests a host keeps tokens for. It covers a
 	// tick and the answer of a peer.
 	horizon = 300 * time.Millisecond
+	// urgentHorizon is the same without a margin.
+	urgentHorizon = 200 * time.Millisecond
 )
 
 // demand measures the requests of an account on a host.
@@ -55,7 +57,7 @@
 	if !d.active() {
 		return part{}
 	}
-	rate := int64((1.25*d.rate + 2*math.Sqrt(d.rate/demandTime.Seconds())) * float64(unit))
+	rate := int64((1.1*d.rate + math.Sqrt(d.rate/4)) * float64(unit))
 	burst := float64(whole.burst)
 	if whole.rate > 0 {
 		burst *= min(1, float64(rate)/float64(whole.rate))
@@ -72,10 +74,8 @@
 	return int64((1 + mean + 2*math.Sqrt(mean)) * float64(unit))
 }
 
-// tokens is the number of tokens that a host keeps for its own requests.
-func (d *demand) tokens(keep part) int64 {
-	if keep.rate == 0 {
-		return 0
-	}
-	return d.low()
+// urgent is the number of tokens below which a request of the next tick may be
+// refused.
+func (d *demand) urgent() int64 {
+	return int64((1.25 + d.rate*urgentHorizon.Seconds()) * float64(unit))
 }
--- a/pkg/proxy/limit/exchange.go
+++ b/pkg/proxy/limit/exchange.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -26,22 +28,19 @@
 // tickExchange asks the holders of the accounts' slots for what this host lacks.
 func (t *Table) tickExchange(now proxy.Instant, random uint64) []proxy.Effect {
 	asks := batch{wants: make(map[proxy.HostID][]Want)}
-	round := t.Valid - renewBefore
+	mayBeg := now.Sub(t.begged) >= tokensAgain
 	for _, b := range t.order {
 		b.mu.Lock()
 		b.advance(now)
 		b.demand.measure(now, b.whole)
-		t.round = t.round || b.demand.active() && b.due(now, round)
-		b.mu.Unlock()
-	}
-	for _, b := range t.order {
-		b.mu.Lock()
 		if b.demand.active() {
-			t.askFor(now, b, random, &asks)
+			t.askFor(now, b, random, mayBeg, &asks)
 		}
 		b.mu.Unlock()
 	}
-	t.round = false
+	if mayBeg && len(asks.order) > 0 {
+		t.begged = now
+	}
 	effects := make([]proxy.Effect, 0, len(asks.order))
 	for _, to := range asks.order {
 		t.number++
@@ -53,68 +52,55 @@
 	return effects
 }
 
-// askFor adds what one account lacks. In a round of any account the others
-// whose round is near join, which keeps their requests in the same messages.
-func (t *Table) askFor(now proxy.Instant, b *bucket, random uint64, asks *batch) {
-	round := t.Valid - renewBefore
-	joins := b.due(now, round) || t.round && b.due(now, round/2)
-	tokens := b.lackOfTokens()
-	begs := tokens > 0 && now.Sub(b.begged) >= begAgain
-	if !joins && !begs {
+// askFor adds what one account lacks. Parts are asked of all givers in a round,
+// tokens alone of one peer at a time.
+func (t *Table) askFor(now proxy.Instant, b *bucket, random uint64, mayBeg bool, asks *batch) {
+	joins := b.due(now, t.Valid-renewBefore)
+	tokens, urgent := b.lackOfTokens()
+	begging := tokens > 0 && (urgent || mayBeg)
+	if !joins && !begging {
 		return
 	}
 	givers := t.givers(b.account)
-	if len(givers) == 0 {
-		return
-	}
-	if begs {
-		b.begged = now
-	}
-	if joins {
-		b.round = now
-		b.asked = b.demand.need(b.whole)
-	}
-	first := int(random % uint64(len(givers)))
-	for i := range givers {
-		giver := givers[(first+i)%len(givers)]
-		asked := begs && i < begPeers
-		if p, waiting := t.pending[giver]; waiting && now.Sub(p.sent) < askAgain || !joins && !asked {
+	lack := b.demand.need(b.whole).rate - b.used.rate
+	begged := int(random % uint64(max(1, len(givers))))
+	for i, giver := range givers {
+		chosen := begging && i == begged
+		if p, waiting := t.pending[giver]; waiting && now.Sub(p.sent) < askAgain || !joins && !chosen {
 			continue
 		}
-		w := b.want(giver, len(givers))
-		if asked {
-			w.Tokens = tokens
+		w := b.want(now, giver, &lack, b.whole.rate/int64(len(givers)+1))
+		if joins && w.Rate > 0 {
+			b.round = now
+			b.asked = b.demand.need(b.whole)
 		}
-		if w.Rate > 0 || w.Burst > 0 || w.Tokens > 0 {
+		if chosen {
+			w.Tokens, w.Level = tokens, b.level
+		}
+		if w.Rate > 0 || w.Tokens > 0 {
 			asks.add(giver, w)
 		}
 	}
 }
 
-// givers returns the live hosts that hold slots of an account. A host that has
-// never read the slots asks the first live hosts.
+// givers returns the live hosts that hold slots of an account, beginning after
+// this host, so that its accounts ask the same peers first and different hosts
+// ask different ones. A host that has never read the slots asks any live hosts.
 func (t *Table) givers(account proxy.AccountID) []proxy.HostID {
 	var hosts []proxy.HostID
 	first, spread := t.spread(account)
 	for i := range spread {
 		s := &t.slots[(first+i)%t.Slots]
-		if _, live := t.live[s.claim.Host]; live && !contains(hosts, s.claim.Host) {
+		if _, live := t.live[s.claim.Host]; live && !slices.Contains(hosts, s.claim.Host) {
 			hosts = append(hosts, s.claim.Host)
 		}
 	}
 	if len(hosts) == 0 && !t.complete {
 		return t.some
 	}
-	return hosts
-}
-
-func contains(hosts []proxy.HostID, host proxy.HostID) bool {
-	for _, h := range hosts {
-		if h == host {
-			return true
-		}
-	}
-	return false
+	slices.Sort(hosts)
+	next, _ := slices.BinarySearch(hosts, t.Self.ID)
+	return append(hosts[next:], hosts[:next]...)
 }
 
 // receive answers a request, or takes the answer to one.
--- a/pkg/proxy/limit/expiry_test.go
+++ b/pkg/proxy/limit/expiry_test.go
@@ -33,6 +33,9 @@
 		for host := range b.current {
 			b.launch(host)
 		}
+		if rapid.Bool().Draw(t, "adverse") {
+			b.skew()
+		}
 		b.run(12 * time.Second)
 		b.flood(time.Duration(rapid.IntRange(1, 40).Draw(t, "ceding"))*tick, account, b.current[0])
 		b.disturb(t, limits)
@@ -51,7 +54,9 @@
 		p.side, p.offline = 1, true
 	case "pause":
 		p.paused = true
-		b.after(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause"))*tick, func() { b.resume(p) })
+		b.attempt(p, limits.ID, 1000)
+		b.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * tick)
+		b.resume(p)
 	case "document":
 		limits.Rate, limits.Burst = limits.Rate/5, limits.Burst/5
 		b.put(&proxy.Document{Accounts: []proxy.Account{limits}})
@@ -66,6 +71,45 @@
 	}
 }
 
+// skew sets the clocks that make double use longest: the first host's is slow,
+// the others' are fast.
+func (b *bound) skew() {
+	for host, p := range b.current {
+		p.rate = 1 + proxy.ClockRateBound
+		if host == 0 {
+			p.rate = 1 - proxy.ClockRateBound
+		}
+	}
+}
+
+// Guards against a slot that is taken over before a holder that is cut off or
+// paused has stopped using it.
+func TestTakeover(t *testing.T) {
+	const account = "only"
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBound(rapid.IntRange(2, 3).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"), account)
+		b.lease, b.renew = 300*time.Second, 20*time.Second
+		delay := time.Duration(rapid.IntRange(1, 500).Draw(t, "delay")) * time.Millisecond
+		b.delay = func() time.Duration { return delay }
+		b.put(&proxy.Document{Accounts: []proxy.Account{{ID: account, Rate: 1000, Burst: 100}}})
+		for host := range b.current {
+			b.launch(host)
+		}
+		b.skew()
+		b.run(time.Duration(rapid.IntRange(100, 400).Draw(t, "running")) * tick)
+		p := b.current[0]
+		p.offline, p.side, p.hidden = true, 1, true
+		for _, q := range b.current {
+			b.announce(q)
+		}
+		p.paused = rapid.Bool().Draw(t, "paused")
+		b.run(b.lease - 25*time.Second)
+		b.resume(p)
+		b.flood(40*time.Second, account, b.current...)
+		b.check(t)
+	})
+}
+
 // flood sends more requests than the limit allows to the given processes.
 func (b *bound) flood(d time.Duration, account proxy.AccountID, to ...*process) {
 	for end := b.now + d; b.now < end; {
--- a/pkg/proxy/limit/fleet_test.go
+++ b/pkg/proxy/limit/fleet_test.go
@@ -33,6 +33,8 @@
 	revision int
 	side     int
 	offline  bool
+	// hidden processes are off the other hosts' lists.
+	hidden bool
 }
 
 func (p *process) local(now time.Duration) proxy.Instant {
@@ -52,18 +54,17 @@
 	version proxy.Version
 	outage  bool
 
-	delay   func() time.Duration
-	loss    float64
-	drift   float64
-	lease   time.Duration
-	renew   time.Duration
-	valid   time.Duration
-	slots   int
-	sent    int
-	bytes   int
-	calls   int
-	faults  []limit.Violation
-	perTick func(p *process)
+	delay  func() time.Duration
+	loss   float64
+	drift  float64
+	lease  time.Duration
+	renew  time.Duration
+	valid  time.Duration
+	slots  int
+	sent   int
+	bytes  int
+	calls  int
+	faults []limit.Violation
 }
 
 type event struct {
@@ -138,9 +139,6 @@
 		return
 	}
 	f.on(p, func() {
-		if f.perTick != nil {
-			f.perTick(p)
-		}
 		f.handle(p, proxy.Tick{Random: f.random.Uint64()})
 		f.after(tick, func() { f.tick(p) })
 	})
@@ -269,7 +267,7 @@
 func (f *fleet) announce(p *process) {
 	var live []proxy.HostState
 	for n, q := range f.current {
-		if q != nil && !q.ended && n != p.host {
+		if q != nil && !q.ended && !q.hidden && n != p.host {
 			live = append(live, q.table.Self)
 		}
 	}
--- /dev/null
+++ b/pkg/proxy/limit/measure_test.go
@@ -0,0 +1,223 @@
+package limit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
+)
+
+// rates are those of the example environment's accounts; bursts are twice that.
+var rates = []float64{60, 60, 15, 15, 80, 40, 20, 10}
+
+// patience is how long a front may let a request wait for its account.
+const patience = 250 * time.Millisecond
+
+// bucket is an ordinary token bucket, for the comparisons.
+type bucket struct {
+	rate, burst, level float64
+	at                 time.Duration
+}
+
+func (b *bucket) take(now time.Duration) bool {
+	b.level = min(b.burst, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// trial measures refusals of requests that one bucket over the whole fleet
+// admits, for the limiter and for static equal shares.
+type trial struct {
+	*fleet
+	load   float64
+	spread bool
+	// first is the host of all requests that are not spread.
+	first    int
+	counting bool
+	document *proxy.Document
+	central  []*bucket
+	static   [][]*bucket
+
+	offered, refused, refusedStatic int
+	// refusedTwice counts the requests that are refused again after waiting
+	// once for a RetryAfter of at most patience.
+	refusedTwice int
+}
+
+func newTrial(hosts, accounts int, load float64, spread bool) *trial {
+	m := &trial{fleet: newFleet(hosts, 5), load: load, spread: spread, document: &proxy.Document{}}
+	m.drift = proxy.ClockRateBound
+	m.delay = func() time.Duration { return 4*time.Millisecond + m.upTo(time.Millisecond) }
+	m.static = make([][]*bucket, hosts)
+	for i := range accounts {
+		rate := rates[i%len(rates)]
+		burst := 2 * rate
+		id := proxy.AccountID(fmt.Sprintf("account-%d", i))
+		m.document.Accounts = append(m.document.Accounts, proxy.Account{ID: id, Rate: rate, Burst: int(burst)})
+		m.central = append(m.central, &bucket{rate: rate, burst: burst, level: burst})
+		for host := range hosts {
+			share := 1 / float64(hosts)
+			m.static[host] = append(m.static[host], &bucket{rate: rate * share, burst: burst * share, level: burst * share})
+		}
+	}
+	for host := range hosts {
+		p := m.start(host)
+		m.handle(p, limit.Configure{Revision: 1, Document: m.document})
+	}
+	for _, p := range m.current {
+		m.announce(p)
+	}
+	m.run(30 * time.Second)
+	for i := range m.document.Accounts {
+		m.arrive(i)
+	}
+	return m
+}
+
+// arrive lets requests of an account come at random, independently of each other.
+func (m *trial) arrive(account int) {
+	a := &m.document.Accounts[account]
+	wait := -math.Log(1-m.random.Float64()) / (a.Rate * m.load)
+	m.after(time.Duration(wait*float64(time.Second)), func() {
+		m.request(account)
+		m.arrive(account)
+	})
+}
+
+func (m *trial) request(account int) {
+	host := m.first
+	if m.spread {
+		for host = m.random.IntN(len(m.current)); m.current[host].ended; {
+			host = m.random.IntN(len(m.current))
+		}
+	}
+	p := m.current[host]
+	err := p.table.Admit(p.local(m.now), m.document.Accounts[account].ID)
+	admitted := err == nil
+	static := m.static[host][account].take(m.now)
+	if !m.central[account].take(m.now) || !m.counting {
+		return
+	}
+	m.offered++
+	m.retry(p, account, err)
+	if !admitted {
+		m.refused++
+	}
+	if !static {
+		m.refusedStatic++
+	}
+}
+
+// retry repeats a refused request once, as a front that waits does.
+func (m *trial) retry(p *process, account int, err error) {
+	if err == nil {
+		return
+	}
+	wait := proxy.AsRefusal(err).RetryAfter
+	if wait > patience {
+		m.refusedTwice++
+		return
+	}
+	m.after(wait, func() {
+		if p.table.Admit(p.local(m.now), m.document.Accounts[account].ID) != nil {
+			m.refusedTwice++
+		}
+	})
+}
+
+// count measures for a time.
+func (m *trial) count(d time.Duration) {
+	m.counting = true
+	m.sent, m.bytes, m.calls = 0, 0, 0
+	m.run(d)
+	m.counting = false
+}
+
+// fail ends the first host. Its clients go to the next host, and the others
+// take it off their lists after the membership's suspicion.
+func (m *trial) fail() {
+	m.current[m.first].ended = true
+	m.first++
+	m.after(3*time.Second, func() {
+		for _, p := range m.current {
+			m.announce(p)
+		}
+	})
+}
+
+// BenchmarkRefusals reports the percentage of in-rate requests that are
+// refused, beside that of static equal shares in the same run, and the messages
+// per second for each active account and host. It runs under virtual time, so
+// the figures are the same in each run. Failures are counted over the 60 s that
+// follow them.
+func BenchmarkRefusals(b *testing.B) {
+	for _, load := range []float64{0.8, 0.95} {
+		for _, spread := range []bool{false, true} {
+			for _, event := range []string{"normal", "failure", "outage"} {
+				b.Run(fmt.Sprintf("load=%g/spread=%v/%s", load, spread, event), func(b *testing.B) {
+					for range b.N {
+						measure(b, load, spread, event)
+					}
+				})
+			}
+		}
+	}
+}
+
+func measure(b *testing.B, load float64, spread bool, event string) {
+	m := newTrial(8, len(rates), load, spread)
+	m.run(30 * time.Second)
+	d := 5 * time.Minute
+	switch event {
+	case "failure":
+		d = time.Minute
+		m.fail()
+	case "outage":
+		d = 10 * time.Minute
+		m.outage = true
+	}
+	m.count(d)
+	pairs := float64(len(rates))
+	if spread {
+		pairs *= float64(len(m.current))
+	}
+	b.ReportMetric(100*float64(m.refused)/float64(m.offered), "refused-%")
+	b.ReportMetric(100*float64(m.refusedTwice)/float64(m.offered), "refused-after-wait-%")
+	b.ReportMetric(100*float64(m.refusedStatic)/float64(m.offered), "static-refused-%")
+	b.ReportMetric(float64(m.sent)/d.Seconds()/pairs, "messages/s/account/host")
+	b.ReportMetric(float64(m.bytes)/d.Seconds()/float64(len(m.current)), "B/s/host")
+	if len(m.faults) > 0 {
+		b.Fatal(m.faults)
+	}
+}
+
+// BenchmarkAdmit reports the time of an admission.
+func BenchmarkAdmit(b *testing.B) {
+	table := &limit.Table{Self: proxy.HostState{ID: "host-aa", Incarnation: 1}, Prefix: prefix}
+	table.Handle(1, limit.Configure{Revision: 1, Document: &proxy.Document{
+		Accounts: []proxy.Account{{ID: "only", Rate: proxy.MaxRate, Burst: proxy.MaxBurst}},
+	}})
+	table.Handle(1, proxy.Listed{Prefix: prefix})
+	now := proxy.Instant(1)
+	for slot := range limit.DefaultSlots {
+		now++
+		table.Handle(now, proxy.Tick{})
+		table.Handle(now, proxy.Written{Key: prefix + proxy.Key(fmt.Sprint(slot)), Version: proxy.Version(slot + 1), Sent: now})
+	}
+	b.ReportAllocs()
+	refused := 0
+	for b.Loop() {
+		now += 2000
+		if table.Admit(now, "only") != nil {
+			refused++
+		}
+	}
+	b.ReportMetric(100*float64(refused)/float64(b.N), "refused-%")
+}
--- a/pkg/proxy/limit/message.go
+++ b/pkg/proxy/limit/message.go
@@ -22,6 +22,12 @@
 	Rate    int64           `cbor:"2,keyasint,omitempty"`
 	Burst   int64           `cbor:"3,keyasint,omitempty"`
 	Tokens  int64           `cbor:"4,keyasint,omitempty"`
+	// Level is the number of tokens that an asking host has. A giver that uses
+	// the account itself gives at most half of the difference.
+	Level int64 `cbor:"5,keyasint,omitempty"`
+	// Again is, in a grant that cedes no rate although some was asked, the time
+	// after which it is worth asking again.
+	Again time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Ask asks a host to cede parts of its shares. It holds all accounts for which
@@ -72,8 +78,12 @@
 		if err := proxy.CheckID("account", string(w.Account)); err != nil {
 			return err
 		}
-		if min(w.Rate, w.Burst, w.Tokens) < 0 || max(w.Rate, w.Burst, w.Tokens) > maxAmount {
-			return fmt.Errorf("account %s: rate %d, burst %d, tokens %d: want 0 to %d", w.Account, w.Rate, w.Burst, w.Tokens, maxAmount)
+		if min(w.Rate, w.Burst, w.Tokens, w.Level) < 0 || max(w.Rate, w.Burst, w.Tokens, w.Level) > maxAmount {
+			return fmt.Errorf("account %s: rate %d, burst %d, tokens %d, level %d: want 0 to %d",
+				w.Account, w.Rate, w.Burst, w.Tokens, w.Level, maxAmount)
+		}
+		if w.Again < 0 || w.Again > time.Minute {
+			return fmt.Errorf("account %s: ask again after %v: want 0 to %v", w.Account, w.Again, time.Minute)
 		}
 	}
 	return nil
--- a/pkg/proxy/limit/table.go
+++ b/pkg/proxy/limit/table.go
@@ -28,24 +28,29 @@
 	DefaultRenew = time.Minute
 	// DefaultValid is the duration of a grant between hosts. Parts that a
 	// failed host had received stay unused for this time.
-	DefaultValid = 3 * time.Second
+	DefaultValid = 1500 * time.Millisecond
 
 	// maxSpread is the largest number of slots over which one account's limit
 	// is divided. It bounds the peers that a host asks.
 	maxSpread = 16
 	// acceptTime is how long after its request a grant may arrive. Tokens in
 	// flight reserve burst of the giver for this time.
-	acceptTime = 500 * time.Millisecond
+	acceptTime = 150 * time.Millisecond
 	// askAgain is how long a request to a peer may remain unanswered.
 	askAgain = 600 * time.Millisecond
 	// renewBefore is the time before the end of a grant at which it is renewed.
-	renewBefore = time.Second
+	renewBefore = 400 * time.Millisecond
 	// growAgain is the least time between two rounds of one account.
 	growAgain = 200 * time.Millisecond
-	// begAgain is the least time between two requests for tokens alone, and
-	// begPeers the number of peers that get one.
-	begAgain = 200 * time.Millisecond
-	begPeers = 2
+	// scarceTime is the time after which it is worth asking a host again that
+	// needs its own part.
+	scarceTime = 4 * time.Second
+	// tokensAgain is the least time between two requests for tokens alone while
+	// none is urgent.
+	tokensAgain = 500 * time.Millisecond
+	// exchangeTime is the usual time until tokens of a peer arrive: a tick and
+	// a round trip between availability zones.
+	exchangeTime = 110 * time.Millisecond
 	// callTimeout is the time after which an unanswered call to the platform
 	// is followed by a read.
 	callTimeout = 5 * time.Second
@@ -103,8 +108,8 @@
 	live     map[proxy.HostID]proxy.Incarnation
 	some     []proxy.HostID
 	leaving  bool
-	// round tells during a tick that some account asks all its givers.
-	round    bool
+	// begged is the instant of the latest request for tokens alone.
+	begged   proxy.Instant
 	number   uint64
 	pending  map[proxy.HostID]pending
 	answered map[peer]uint64
@@ -294,15 +299,17 @@
 	}
 }
 
-// refresh is the time between two reads of all slots.
+// refresh is the time between two reads of all slots: short while some are free
+// or the host has fewer than its share.
 func (t *Table) refresh() time.Duration {
-	held := 0
+	held, free := 0, false
 	for n := range t.slots {
+		free = free || t.slots[n].claim.Host == ""
 		if t.slots[n].mine {
 			held++
 		}
 	}
-	if !t.complete || held < t.quota() && len(t.live)+1 <= t.Slots {
+	if !t.complete || free || held < t.Slots/(len(t.live)+1) {
 		return listOften
 	}
 	return listSeldom
