--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -46,11 +46,9 @@
 func drive(module proxy.Module, answer func(now proxy.Instant, send proxy.Send) proxy.Event) (controlCost, error) {
 	random := rand.New(rand.NewPCG(1, 2))
 	var cost controlCost
-	var busy time.Duration
 	handle := func(now proxy.Instant, event proxy.Event) []proxy.Effect {
-		start := time.Now()
-		effects := module.Handle(now, event)
-		busy += time.Since(start)
+		effects, busy := timed(module, now, event)
+		cost.processor += busy
 		return effects
 	}
 	for now := proxy.Instant(1); now < proxy.Instant(controlSpan); now = now.Add(controlTick) {
@@ -73,11 +71,19 @@
 		}
 	}
 	seconds := controlSpan.Seconds()
-	cost.processor = float64(busy.Microseconds()) / seconds
+	cost.processor /= seconds
 	cost.traffic /= seconds
 	return cost, nil
 }
 
+// timed hands an event to a module and returns the effects and the microseconds
+// that it took.
+func timed(module proxy.Module, now proxy.Instant, event proxy.Event) ([]proxy.Effect, float64) {
+	start := time.Now()
+	effects := module.Handle(now, event)
+	return effects, float64(time.Since(start).Nanoseconds()) / 1000
+}
+
 // heap returns the bytes in use after a collection.
 func heap() float64 {
 	runtime.GC()
