--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -83,6 +83,12 @@
 
 // receive hands a control message to the modules.
 func (h *Host) receive(message proxy.Received) {
+	if request, ok := message.Message.(*cancelRequest); ok {
+		ctx, stop := context.WithTimeout(context.Background(), sendTimeout)
+		defer stop()
+		h.front.Cancel(ctx, request.Process, request.Secret)
+		return
+	}
 	h.driver.Post(message)
 }
 
@@ -101,6 +107,7 @@
 		8:  &promotion.Drained{},
 		9:  &limit.Ask{},
 		10: &limit.Grant{},
+		11: &cancelRequest{},
 	} {
 		if err := registry.Register(kind, message); err != nil {
 			return nil, fmt.Errorf("control messages: %w", err)
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -31,6 +31,7 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/session"
 )
 
 // Intervals of the control decisions.
@@ -143,7 +144,8 @@
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: gate{h}, Limiter: h.limits, Lender: h.forwarder(), Positions: noPositions{}, Clock: h.clock,
+		Catalog: gate{h}, Limiter: h.limits, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
+		Host: hostNumber(h.self.ID), Canceler: canceler{h},
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
 		Limits: front.Limits{
 			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
