--- a/demo/smoke/main.go
+++ b/demo/smoke/main.go
@@ -31,6 +31,7 @@
 	Hosts     []string `long:"host" required:"true" description:"client address of a host; may be repeated"`
 	Key       string   `long:"key" required:"true" description:"account key that may use both routes"`
 	Write     string   `long:"write" required:"true" description:"route for writes"`
+	Withdrawn bool     `long:"withdrawn" description:"only wait until the key is withdrawn"`
 	Open      string   `long:"open" required:"true" description:"route that is open to all"`
 }
 
@@ -55,6 +56,10 @@
 		{"open route without a key", openRoute},
 		{"wrong key is refused", wrongKey},
 		{"unsupported statement is refused before it runs", refusedStatement},
+		{"cancel through another host", cancelElsewhere},
+	}
+	if o.Withdrawn {
+		checks = []check{{"withdrawn key ends its connections", awaitWithdrawal}}
 	}
 	for _, c := range checks {
 		if err := c.run(ctx, o); err != nil {
