--- a/pkg/proxy/promotion/plan.go
+++ b/pkg/proxy/promotion/plan.go
@@ -57,6 +57,9 @@
 // or lacks is replaced by the replica with the highest position that is not.
 func (g *group) target(s *step) proxy.InstanceID {
 	wanted := g.object.Next
+	if !g.object.Replica(wanted) {
+		wanted = ""
+	}
 	if wanted == "" && s.machine.revision > g.object.Revision {
 		if named := g.named(); named != g.object.Named {
 			wanted = named
