--- a/pkg/proxy/promotion/bench_test.go
+++ b/pkg/proxy/promotion/bench_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,24 @@
 		}
 	}
 }
+
+// BenchmarkTickElsewhere measures a tick of a host that knows 1,200 groups and
+// is a pool host of none.
+func BenchmarkTickElsewhere(b *testing.B) {
+	const groups = 1200
+	m, err := promotion.New(promotion.Settings{
+		Host: "h", Incarnation: 1, Environment: "loom", Stage: proxy.Production, Timing: promotion.DefaultTiming(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := new(proxy.Document)
+	for n := range groups {
+		d.Groups = append(d.Groups, proxy.Group{ID: proxy.GroupID(fmt.Sprintf("g%d", n))})
+	}
+	m.Handle(present, promotion.Configured{Document: d, Revision: 1})
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Handle(present, proxy.Tick{})
+	}
+}
--- a/pkg/proxy/promotion/group.go
+++ b/pkg/proxy/promotion/group.go
@@ -14,8 +14,9 @@
 	key      proxy.Key
 	declared *proxy.Group
 	hosts    []proxy.HostID
-	rank     int
-	writing  int
+	// rank is this host's place among hosts, or -1.
+	rank    int
+	writing int
 
 	// object is the last one read or written, nil before the first.
 	object  *Object
@@ -58,13 +59,6 @@
 	orderedAt proxy.Instant
 }
 
-// place records the pool hosts of the group.
-func (g *group) place(s *step, hosts []proxy.HostID) {
-	g.hosts = slices.Clone(hosts)
-	g.rank = s.machine.rank(hosts)
-	g.advance(s)
-}
-
 // observe records an observation.
 func (g *group) observe(s *step, o Observed) {
 	v := g.views[o.Instance]
--- a/pkg/proxy/promotion/machine.go
+++ b/pkg/proxy/promotion/machine.go
@@ -23,8 +23,13 @@
 type Machine struct {
 	settings Settings
 
-	mu       sync.Mutex
-	groups   map[proxy.GroupID]*group
+	mu     sync.Mutex
+	groups map[proxy.GroupID]*group
+	// placements are the pool hosts of each group, also of groups that the
+	// document in force does not contain yet.
+	placements map[proxy.GroupID][]proxy.HostID
+	// placed are the groups that this host is a pool host of.
+	placed   map[proxy.GroupID]*group
 	revision proxy.Revision
 	watching bool
 	writes   uint64
@@ -43,7 +48,12 @@
 	if err := settings.Stage.Validate(); err != nil {
 		return nil, fmt.Errorf("promotion settings: %w", err)
 	}
-	return &Machine{settings: settings, groups: make(map[proxy.GroupID]*group)}, nil
+	return &Machine{
+		settings:   settings,
+		groups:     make(map[proxy.GroupID]*group),
+		placements: make(map[proxy.GroupID][]proxy.HostID),
+		placed:     make(map[proxy.GroupID]*group),
+	}, nil
 }
 
 // Handle takes one event.
@@ -57,8 +67,10 @@
 	case Configured:
 		m.configure(s, e)
 	case Placed:
+		m.placements[e.Group] = slices.Clone(e.Hosts)
 		if g := m.groups[e.Group]; g != nil {
-			g.place(s, e.Hosts)
+			m.place(g)
+			g.advance(s)
 		}
 	case Writing:
 		if g := m.groups[e.Group]; g != nil {
@@ -91,11 +103,21 @@
 func (s *step) emit(e proxy.Effect) { s.effects = append(s.effects, e) }
 
 func (m *Machine) tick(s *step) {
-	for _, g := range m.groups {
+	for _, g := range m.placed {
 		g.advance(s)
 	}
 }
 
+// place gives a group its pool hosts.
+func (m *Machine) place(g *group) {
+	g.hosts = m.placements[g.id]
+	g.rank = slices.Index(g.hosts, m.settings.Host)
+	delete(m.placed, g.id)
+	if g.rank >= 0 {
+		m.placed[g.id] = g
+	}
+}
+
 // configure adds the groups of a document and removes those that it lacks. An
 // older document than the present one is ignored.
 func (m *Machine) configure(s *step, e Configured) {
@@ -115,6 +137,7 @@
 		if g == nil {
 			g = newGroup(declared.ID, Key(m.settings.Environment, m.settings.Stage, declared.ID))
 			m.groups[declared.ID] = g
+			m.place(g)
 		}
 		g.declared = declared
 		g.advance(s)
@@ -122,6 +145,7 @@
 	for id := range m.groups {
 		if !present[id] {
 			delete(m.groups, id)
+			delete(m.placed, id)
 		}
 	}
 }
@@ -157,8 +181,3 @@
 		}
 	}
 }
-
-// rank returns the host's place among the pool hosts, or -1.
-func (m *Machine) rank(hosts []proxy.HostID) int {
-	return slices.Index(hosts, m.settings.Host)
-}
