--- /dev/null
+++ b/internal/pool/lend.go
@@ -0,0 +1,255 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/queue"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/routing"
+)
+
+const (
+	// retryAfter is what callers are told when no connection was free in time.
+	retryAfter = 100 * time.Millisecond
+	// recheck is the interval at which a waiting request looks at the leadership
+	// again. The time without a primary after a promotion contains it once.
+	recheck = 50 * time.Millisecond
+)
+
+// errMoved tells a waiter to choose an instance again.
+var errMoved = eris.New("the instance does not suit the request any more")
+
+// Lend implements proxy.Lender.
+func (p *Pool) Lend(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
+	select {
+	case <-p.ready():
+	default:
+		return nil, proxy.Refuse(proxy.CannotConnectNow, "the pool has not started")
+	}
+	if p.Share(ask.Group) <= 0 {
+		return nil, proxy.Refuse(proxy.CannotConnectNow, "this host does not pool group %s", ask.Group)
+	}
+	patience := ask.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		ask, err := p.admit(ctx, ask)
+		if err != nil {
+			return nil, err
+		}
+		i, lent, err := p.choose(ctx, ask)
+		if err != nil {
+			return nil, err
+		}
+		loan, err := p.lendFrom(ctx, i, lent, ask)
+		if !eris.Is(err, errMoved) {
+			return loan, err
+		}
+		p.await(ctx, p.changes.wait())
+	}
+}
+
+// await waits for a change, but not longer than recheck.
+func (p *Pool) await(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// choose waits until there is an instance for the ask.
+func (p *Pool) choose(ctx context.Context, ask proxy.Ask) (*instance, proxy.Lent, error) {
+	for {
+		if p.ctx.Err() != nil {
+			return nil, proxy.Lent{}, proxy.Refuse(proxy.CannotConnectNow, "the pool is shutting down")
+		}
+		changed := p.changes.wait()
+		choice := p.choice(ask)
+		if choice.Kind == routing.Refuse || ctx.Err() != nil {
+			return nil, proxy.Lent{}, p.busy("group %s: no connection in time: %s", ask.Group, choice.Reason)
+		}
+		if choice.Kind != routing.Wait {
+			if i := p.find(ask.Group, choice.Instance); i != nil {
+				return i, proxy.Lent{Instance: choice.Instance, Primary: choice.Kind == routing.Primary, Term: choice.Term}, nil
+			}
+			p.adoptSoon()
+		}
+		p.await(ctx, changed)
+	}
+}
+
+// adoptSoon asks Run to adopt the document before the next interval.
+func (p *Pool) adoptSoon() {
+	select {
+	case p.unknown <- struct{}{}:
+	default:
+	}
+}
+
+// choice asks the routing for an instance.
+func (p *Pool) choice(ask proxy.Ask) routing.Choice {
+	leadership, known := p.Leaders.Leader(ask.Group)
+	states, slots := p.candidates(ask.Group, leadership.Primary)
+	return routing.Choose(p.Clock.Now(), ask, routing.Table{
+		Leadership: leadership,
+		Known:      known,
+		States:     states,
+		Zone:       p.Zone,
+		Slots:      slots,
+		Horizon:    p.Horizon,
+	})
+}
+
+// lendFrom lends a connection of the instance. It returns errMoved when another
+// instance must be chosen.
+func (p *Pool) lendFrom(ctx context.Context, i *instance, lent proxy.Lent, ask proxy.Ask) (proxy.Loan, error) {
+	o := owner{ask.Account, ask.Session}
+	for {
+		c, err := p.acquire(ctx, i, lent, ask)
+		if err != nil {
+			return nil, err
+		}
+		lent.Same = o.session != 0 && c.session == o
+		c, err = p.prepare(ctx, i, c, &lent)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			continue
+		}
+		c.session = o
+		lent.Connection = c.number
+		writes := ask.Access == proxy.Write
+		if writes {
+			p.addWriter(i.group, 1)
+		}
+		// The count is raised before the check, so that a planned change of
+		// primary either sees this loan or makes it wait.
+		if p.unfit(i, lent) || writes && p.readyToWrite(i.group) != nil {
+			p.takeBack(i, c, proxy.Return{})
+			if writes {
+				p.addWriter(i.group, -1)
+			}
+			return nil, errMoved
+		}
+		return &loan{pool: p, instance: i, conn: c, lent: lent, writes: writes}, nil
+	}
+}
+
+// acquire waits in the instance's queue for a connection.
+func (p *Pool) acquire(ctx context.Context, i *instance, lent proxy.Lent, ask proxy.Ask) (*connection, error) {
+	w := &waiter{owner: owner{ask.Account, ask.Session}, granted: make(chan result, 1)}
+	item := &queue.Item[*waiter]{Account: ask.Account, Weight: ask.Weight, Priority: ask.Priority, Value: w}
+	if err := p.enqueue(i, item); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-w.granted:
+		return r.conn, r.err
+	default:
+	}
+	ticker := time.NewTicker(recheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-w.granted:
+			return r.conn, r.err
+		case <-ticker.C:
+			if p.unfit(i, lent) {
+				return nil, p.leave(i, item, errMoved)
+			}
+		case <-ctx.Done():
+			return nil, p.leave(i, item, p.busy("no connection to instance %s of group %s was free in time", i.id, i.group))
+		}
+	}
+}
+
+// enqueue adds a waiter to the instance's queue.
+func (p *Pool) enqueue(i *instance, item *queue.Item[*waiter]) error {
+	now := p.Clock.Now()
+	i.mu.Lock()
+	if i.leaving {
+		i.mu.Unlock()
+		return errMoved
+	}
+	left := i.waiting.Push(now, item)
+	dials := i.grant()
+	i.mu.Unlock()
+	p.dial(i, dials)
+	if left != nil {
+		left.Value.granted <- result{err: p.busy("the queue of instance %s of group %s is full", i.id, i.group)}
+	}
+	return nil
+}
+
+// leave takes a waiter out of the queue and returns err. A connection that was
+// granted at the same time is given back.
+func (p *Pool) leave(i *instance, item *queue.Item[*waiter], err error) error {
+	i.mu.Lock()
+	waiting := i.waiting.Remove(item)
+	i.mu.Unlock()
+	if waiting {
+		return err
+	}
+	if r := <-item.Value.granted; r.conn != nil {
+		p.takeBack(i, r.conn, proxy.Return{})
+	}
+	return err
+}
+
+// unfit reports that the leadership has changed since the instance was chosen or
+// that a chosen replica does not answer any more.
+func (p *Pool) unfit(i *instance, lent proxy.Lent) bool {
+	leadership, known := p.Leaders.Leader(i.group)
+	if !known || leadership.Term != lent.Term {
+		return true
+	}
+	if lent.Primary {
+		return leadership.Primary != i.id
+	}
+	return i.unreachable() || p.Clock.Now().Sub(p.states.get(i.group, i.id).Seen) > p.Horizon
+}
+
+// busy returns the refusal of a request that may be tried again.
+func (p *Pool) busy(format string, args ...any) *proxy.Refusal {
+	p.count("pool.refused")
+	r := proxy.Refuse(proxy.TooManyConnections, format, args...)
+	r.RetryAfter = retryAfter
+	return r
+}
+
+func (p *Pool) count(name string) {
+	metrics.GetOrRegisterCounter(name, p.Metrics).Inc(1)
+}
+
+// takeBack returns a lent connection to the instance or closes it.
+func (p *Pool) takeBack(i *instance, c *connection, r proxy.Return) {
+	usable := !r.Broken && c.idle() && p.ctx.Err() == nil
+	now := p.Clock.Now()
+	i.mu.Lock()
+	if !c.lent {
+		i.mu.Unlock()
+		p.violation("connection returned that was not lent", i)
+		return
+	}
+	c.lent = false
+	c.used = now
+	i.lent--
+	kept := i.keep(c, usable)
+	dials := i.grant()
+	i.mu.Unlock()
+	if !kept {
+		c.close()
+	}
+	p.dial(i, dials)
+}
