--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -62,6 +62,7 @@
 	reporter      *reporter
 	applied       atomic.Pointer[environment.Envelope]
 	stopping      atomic.Bool
+	aborted       chan struct{}
 }
 
 // New builds a host and returns a function that releases what it holds.
@@ -72,6 +73,7 @@
 	}
 	h := &Host{
 		settings: settings, log: log, clock: NewClock(), registry: metrics.NewRegistry(), store: store,
+		aborted: make(chan struct{}),
 		self: proxy.HostState{
 			ID: settings.Host, Zone: settings.Zone, Address: settings.Peers,
 			Incarnation: newIncarnation(time.Now()),
@@ -208,6 +210,13 @@
 	}
 	inside, stopInside := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopInside()
+	go func() {
+		select {
+		case <-h.aborted:
+			stopInside()
+		case <-inside.Done():
+		}
+	}()
 	var running sync.WaitGroup
 	start := func(job func()) {
 		running.Add(1)
@@ -234,6 +243,11 @@
 	return err
 }
 
+// Abort ends all but the listener for clients at once and announces nothing, as
+// a failure of the host would. It is called at most once; Run's context still
+// ends Run.
+func (h *Host) Abort() { close(h.aborted) }
+
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
 	h.reporter.wake()
