--- a/internal/experiment/check.go
+++ b/internal/experiment/check.go
@@ -14,6 +14,8 @@
 	Lost int `json:"lost"`
 	// Twice counts writes that the final primary has more than once.
 	Twice int `json:"twice"`
+	// Invariants counts the invariants that hosts reported as broken.
+	Invariants int `json:"invariants"`
 	// Examples describe the first violations.
 	Examples []string `json:"examples,omitempty"`
 }
@@ -22,7 +24,7 @@
 const maxExamples = 10
 
 // Sum returns the number of all violations.
-func (v Violations) Sum() int { return v.Missed + v.Lost + v.Twice }
+func (v Violations) Sum() int { return v.Missed + v.Lost + v.Twice + v.Invariants }
 
 func (v *Violations) describe(format string, arguments ...any) {
 	if len(v.Examples) < maxExamples {
@@ -32,7 +34,7 @@
 
 // check compares the records with the rows of the final primaries.
 func (n *installation) check(records []record) Violations {
-	var v Violations
+	v := Violations{Invariants: int(n.invariants.Load())}
 	rows := make(map[string]map[string]int)
 	for _, group := range n.document.Groups {
 		n.collect(group.ID, rows)
--- a/internal/experiment/installation.go
+++ b/internal/experiment/installation.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -41,8 +42,11 @@
 	address   string // of the platform
 	hosts     []*host
 	instances map[proxy.InstanceID]*emulated
-	running   sync.WaitGroup
-	cleanUps  []func()
+	// connections are sampled during the load.
+	connections connections
+	invariants  atomic.Int64
+	running     sync.WaitGroup
+	cleanUps    []func()
 }
 
 // emulated is an emulated instance.
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -80,8 +79,10 @@
 	n.addUnavailability(r, records)
 	n.addAccounts(r, records)
 	n.addConnections(r)
+	n.addCalls(r)
 	v := r.Violations
-	r.add("violations: missed, lost, twice", fmt.Sprintf("%d, %d, %d", v.Missed, v.Lost, v.Twice), "0, 0, 0", v.Sum() == 0)
+	r.add("violations: missed, lost, twice, invariants",
+		fmt.Sprintf("%d, %d, %d, %d", v.Missed, v.Lost, v.Twice, v.Invariants), "0, 0, 0, 0", v.Sum() == 0)
 	if planned := count(plan); planned != len(records) {
 		r.add("planned requests that were not sent", fmt.Sprint(planned-len(records)), "0", false)
 	}
@@ -235,19 +236,7 @@
 	return float64(a.p99) / float64(max(a.p99Before, time.Millisecond))
 }
 
-// addConnections reports the instance with the most connections.
-func (n *installation) addConnections(r *Report) {
-	highest, refused, limit := 0, 0, 0
-	name := ""
-	for _, id := range slices.Sorted(maps.Keys(n.instances)) {
-		status := n.instances[id].Status()
-		refused += status.Refused
-		if status.Highest > highest {
-			highest, name, limit = status.Highest, string(id), n.instances[id].Faults().Connections
-		}
-	}
-	r.add("most connections of an instance, refused by all", fmt.Sprintf("%d (%s), %d", highest, name, refused),
-		fmt.Sprintf("at most %d, 0", limit), highest <= limit && refused == 0)
+func (n *installation) addCalls(r *Report) {
 	calls := n.platform.Calls()
 	r.add("platform calls: reads, writes, lists, watches",
 		fmt.Sprintf("%d, %d, %d, %d", calls.Reads, calls.Writes, calls.Lists, calls.Watches), "", true)
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/instance"
 	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
@@ -32,6 +33,11 @@
 	ctx, stop := context.WithTimeout(ctx, startTimeout+settleTime+o.Duration+10*requestTimeout)
 	defer stop()
 	n := &installation{options: o}
+	n.options.Log = o.Log.Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+		if isInvariant(message) {
+			n.invariants.Add(1)
+		}
+	}))
 	defer n.close()
 	if err := n.start(ctx); err != nil {
 		return nil, fmt.Errorf("start: %w", err)
@@ -90,11 +96,8 @@
 	started := time.Now()
 	ctx, stop := context.WithCancel(ctx)
 	var failure, sessions sync.WaitGroup
-	failure.Add(1)
-	go func() {
-		defer failure.Done()
-		n.fail(ctx)
-	}()
+	failure.Go(func() { n.fail(ctx) })
+	failure.Go(func() { n.sample(ctx) })
 	clients := make([]*client, len(plan))
 	for i, s := range plan {
 		c := &client{
@@ -102,11 +105,7 @@
 			random: rand.New(rand.NewPCG(n.options.Seed, uint64(i)+1)),
 		}
 		clients[i] = c
-		sessions.Add(1)
-		go func() {
-			defer sessions.Done()
-			c.run(ctx)
-		}()
+		sessions.Go(func() { c.run(ctx) })
 	}
 	sessions.Wait()
 	stop()
