Do not wait at instances for another host's order or for a failed primary's position

Each host that waited for the advisory lock of an order occupied a slot of the instance, which the holder's own statements then lacked, so that orders timed out after 2 s. A wait given up kept its connection: 18 connections at a limit of 16, and refused dials. Orders now try the lock and are dropped when it is taken; the promotion module repeats them.

Reads that asked a primary for its position just before it failed waited for it until the route's timeout, although another primary was in force after 3 s. Bound now fails at the first observation that finds no primary.

--- a/internal/emulator/instance/functions.go
+++ b/internal/emulator/instance/functions.go
@@ -35,6 +35,7 @@
 	"pg_wal_lsn_diff":         {[]uint32{oidLSN, oidLSN}, 2, pgtype.Int8OID, positionDifference},
 	"pg_promote":              {[]uint32{pgtype.BoolOID, pgtype.Int4OID}, 0, pgtype.BoolOID, promote},
 	"pg_advisory_lock":        {[]uint32{pgtype.Int8OID}, 1, oidVoid, advisoryLock},
+	"pg_try_advisory_lock":    {[]uint32{pgtype.Int8OID}, 1, pgtype.BoolOID, tryAdvisoryLock},
 	"pg_advisory_unlock":      {[]uint32{pgtype.Int8OID}, 1, pgtype.BoolOID, advisoryUnlock},
 	"pg_reload_conf":          {nil, 0, pgtype.BoolOID, reload},
 	"version":                 {nil, 0, pgtype.TextOID, version},
--- a/internal/emulator/instance/system.go
+++ b/internal/emulator/instance/system.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// tryAdvisoryLock takes the lock if it is free and reports whether it did.
+func tryAdvisoryLock(s *session, arguments []value) (value, error) {
+	key, err := arguments[0].integer()
+	if err != nil {
+		return value{}, err
+	}
+	_, taken := s.engine.AdvisoryLock(s, key)
+	return boolValue(taken), nil
+}
+
 func advisoryUnlock(s *session, arguments []value) (value, error) {
 	key, err := arguments[0].integer()
 	if err != nil {
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -53,18 +53,25 @@
 	}
 }
 
-// execute carries out one order under the advisory lock of the instance.
+// execute carries out one order under the advisory lock of the instance. While
+// another host holds the lock the order is dropped, since the promotion module
+// repeats it. Waiting would hold one of the instance's slots, which the lock's
+// holder needs, and a wait given up keeps its connection open at the instance.
 func (w *watch) execute(ctx context.Context, order proxy.Effect) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if _, err := w.connect(ctx); err != nil {
 		return err
 	}
-	if _, err := w.query(ctx, fmt.Sprintf("SELECT pg_advisory_lock(%d)", orderLock)); err != nil {
+	row, err := w.query(ctx, fmt.Sprintf("SELECT pg_try_advisory_lock(%d)", orderLock))
+	if err != nil {
 		w.disconnect() // ends a session that may hold the lock
 		return fmt.Errorf("lock: %w", err)
 	}
-	err := w.locked(ctx, order)
+	if len(row) != 1 || row[0] != "t" {
+		return nil
+	}
+	err = w.locked(ctx, order)
 	if _, unlockErr := w.query(ctx, fmt.Sprintf("SELECT pg_advisory_unlock(%d)", orderLock)); unlockErr != nil {
 		w.disconnect()
 	}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -210,7 +211,9 @@
 }
 
 // Bound returns a log position of the instance that was read after the call. It
-// covers everything that the instance had committed before the call.
+// covers everything that the instance had committed before the call. It fails
+// when an observation after the call finds no primary, since the group may get
+// another one long before ctx ends.
 func (s *Supervisor) Bound(ctx context.Context, group proxy.GroupID, instance proxy.InstanceID) (proxy.Position, error) {
 	called := s.Clock.Now()
 	for {
@@ -220,6 +223,9 @@
 		if o.Reachable && !o.Recovery && o.Sent >= called {
 			return o.Current, nil
 		}
+		if o.Sent >= called && (!o.Reachable || o.Recovery) {
+			return 0, eris.Errorf("position of %s: it is no reachable primary", instance)
+		}
 		if err := ctx.Err(); err != nil {
 			return 0, fmt.Errorf("position of %s: %w", instance, err)
 		}
