--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -13,6 +13,13 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
+// Limits of a host's graceful shutdown. A host that exceeds stopTimeout is
+// reported and abandoned, so that the run still ends.
+const (
+	grace       = 5 * time.Second
+	stopTimeout = grace + 5*time.Second
+)
+
 // host is a running entry host as its clients reach it.
 type host struct {
 	id      proxy.HostID
@@ -50,7 +57,7 @@
 		Instances: daemon.InstancesSettings{
 			User: instanceUser, Probe: 100 * time.Millisecond, Idle: 2 * time.Second, Silence: 500 * time.Millisecond,
 		},
-		Grace: 5 * time.Second,
+		Grace: grace,
 	}
 	for _, address := range []*string{&settings.Listen, &settings.Peers, &settings.Status} {
 		free, err := freeAddress()
@@ -79,7 +86,11 @@
 	})
 	n.later(func() {
 		stop()
-		<-ended
+		select {
+		case <-ended:
+		case <-time.After(stopTimeout):
+			n.stuck = append(n.stuck, id)
+		}
 		cleanUp()
 	})
 	n.hosts = append(n.hosts, &host{
--- a/internal/experiment/installation.go
+++ b/internal/experiment/installation.go
@@ -45,6 +45,8 @@
 	// connections are sampled during the load.
 	connections connections
 	invariants  atomic.Int64
+	// stuck are the hosts that did not stop in time.
+	stuck []proxy.HostID
 	running     sync.WaitGroup
 	cleanUps    []func()
 }
@@ -75,12 +77,15 @@
 	return nil
 }
 
-// close ends all parts, the last started first.
+// close ends all parts, the last started first. It may be called again.
 func (n *installation) close() {
 	for i := len(n.cleanUps) - 1; i >= 0; i-- {
 		n.cleanUps[i]()
 	}
-	n.running.Wait()
+	n.cleanUps = nil
+	if len(n.stuck) == 0 {
+		n.running.Wait()
+	}
 }
 
 func (n *installation) later(f func()) { n.cleanUps = append(n.cleanUps, f) }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -58,7 +58,7 @@
 }
 
 // report measures a finished run.
-func (n *installation) report(plan []plannedSession, records []record) (*Report, error) {
+func (n *installation) report(plan []plannedSession, records []record) *Report {
 	o := n.options
 	r := &Report{
 		User: o.User, Scenario: o.Scenario, Hosts: o.Hosts, Seed: o.Seed, Duration: o.Duration.String(),
@@ -86,7 +86,7 @@
 	if planned := count(plan); planned != len(records) {
 		r.add("planned requests that were not sent", fmt.Sprint(planned-len(records)), "0", false)
 	}
-	return r, nil
+	return r
 }
 
 func count(plan []plannedSession) int {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -51,7 +51,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, fmt.Errorf("run not finished: %w", err)
 	}
-	return n.report(plan, records)
+	report := n.report(plan, records)
+	n.close()
+	report.add("hosts that did not stop", fmt.Sprint(len(n.stuck)), "0", len(n.stuck) == 0)
+	return report, nil
 }
 
 // prepareRows inserts the sessions' rows on the primaries.
