--- a/internal/experiment/installation.go
+++ b/internal/experiment/installation.go
@@ -46,9 +46,9 @@
 	connections connections
 	invariants  atomic.Int64
 	// stuck are the hosts that did not stop in time.
-	stuck []proxy.HostID
-	running     sync.WaitGroup
-	cleanUps    []func()
+	stuck    []proxy.HostID
+	running  sync.WaitGroup
+	cleanUps []func()
 }
 
 // emulated is an emulated instance.
