--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -247,6 +247,7 @@
 	defer stopped()
 	err = h.front.Run(ctx, clients)
 	h.log.Info().Msg("host stopping")
+	h.farewell()
 	stopInside()
 	running.Wait()
 	return err
--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -16,6 +16,8 @@
 	// reportRetry is the time until a status that was not written is written
 	// again.
 	reportRetry = time.Second
+	// farewellTimeout limits the writing of the last status.
+	farewellTimeout = time.Second
 )
 
 // reporter writes the host's status object when the revision in force changes,
@@ -85,3 +87,13 @@
 	}
 	return store.Put(ctx, key, value, current.Version)
 }
+
+// farewell writes the last status, from which operators see that the host has
+// left. It is not worth delaying the stop if the platform does not answer.
+func (h *Host) farewell() {
+	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
+	defer cancel()
+	if err := newReporter(h).report(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("last status not written to the platform")
+	}
+}
