Close the emulated instance's replica listener only once

The HTTP server closes its listener from two goroutines, and both could find it open: "close of closed channel" was seen at the end of a test.

--- a/internal/emulator/instance/replicas.go
+++ b/internal/emulator/instance/replicas.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 )
 
 // replicaListener hands the connections of replicas, which arrive at the
@@ -13,10 +14,15 @@
 	address net.Addr
 	conns   chan net.Conn
 	closed  chan struct{}
+	// close closes the channel closed once: the HTTP server closes its listener
+	// from two goroutines.
+	close func()
 }
 
 func newReplicaListener(address net.Addr) replicaListener {
-	return replicaListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	closed := make(chan struct{})
+	shut := sync.OnceFunc(func() { close(closed) })
+	return replicaListener{address: address, conns: make(chan net.Conn), closed: closed, close: shut}
 }
 
 // Accept implements net.Listener.
@@ -31,11 +37,7 @@
 
 // Close implements net.Listener.
 func (l replicaListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
+	l.close()
 	return nil
 }
 
