Stop background reads of pgconn before a connection is taken over

After a slow write pgconn leaves a goroutine reading from the connection. On a loaded machine it held the read lock of the socket, and a Lend waited for it without end.

--- a/internal/inner/host_test.go
+++ b/internal/inner/host_test.go
@@ -66,7 +66,10 @@
 		t.Fatal(err)
 	}
 	h.instance = one
-	run(t, func(ctx context.Context) { defer stop(); _ = one.Run(ctx) })
+	run(t, func(ctx context.Context) {
+		defer context.AfterFunc(ctx, stop)()
+		_ = one.Run(context.Background())
+	})
 	described := proxy.Instance{ID: "one", Zone: "a", Address: one.Address(), Primary: true}
 	h.pool = &pool.Pool{
 		Catalog: catalog{&proxy.Document{Groups: []proxy.Group{{ID: "orders", Database: "orders", Slots: share, Instances: []proxy.Instance{described}}}}},
--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -98,8 +98,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
+	// After a slow write pgconn reads in the background, which would take bytes
+	// from the borrower and block the check of an idle connection.
+	if err = pg.SyncConn(ctx); err != nil {
+		_ = pg.Close(ctx)
+		return nil, fmt.Errorf("end the startup with %s: %w", address, err)
+	}
 	hijacked, err := pg.Hijack()
 	if err != nil {
+		_ = pg.Close(ctx)
 		return nil, fmt.Errorf("take over the connection to %s: %w", address, err)
 	}
 	w.progress.status = hijacked.TxStatus
