--- a/demo/smoke/main.go
+++ b/demo/smoke/main.go
@@ -18,14 +18,20 @@
 	"github.com/rotisserie/eris"
 )
 
-// smokeTimeout bounds the whole run.
-const smokeTimeout = time.Minute
+const (
+	// smokeTimeout bounds the whole run.
+	smokeTimeout = time.Minute
+	// pause keeps the requests within the rate of the example accounts, whose
+	// buckets are empty after a start.
+	pause = 60 * time.Millisecond
+)
 
 type options struct {
 	Authority string   `long:"authority" required:"true" description:"PEM file of the authority of the hosts' certificates"`
 	Hosts     []string `long:"host" required:"true" description:"client address of a host; may be repeated"`
 	Key       string   `long:"key" required:"true" description:"account key that may use both routes"`
 	Write     string   `long:"write" required:"true" description:"route for writes"`
+	Withdrawn bool     `long:"withdrawn" description:"only wait until the key is withdrawn"`
 	Open      string   `long:"open" required:"true" description:"route that is open to all"`
 }
 
@@ -50,6 +56,10 @@
 		{"open route without a key", openRoute},
 		{"wrong key is refused", wrongKey},
 		{"unsupported statement is refused before it runs", refusedStatement},
+		{"cancel through another host", cancelElsewhere},
+	}
+	if o.Withdrawn {
+		checks = []check{{"withdrawn key ends its connections", awaitWithdrawal}}
 	}
 	for _, c := range checks {
 		if err := c.run(ctx, o); err != nil {
@@ -104,6 +114,7 @@
 	if _, err := w.Exec(ctx, upsert, "smoke", value); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
+	time.Sleep(pause)
 	r, err := o.connect(ctx, reader, o.Write)
 	if err != nil {
 		return err
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,12 +4,17 @@
 	"context"
 	"fmt"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
 )
 
 // own carries out the effects that modules define themselves.
@@ -17,16 +22,55 @@
 	switch e := effect.(type) {
 	case member.Changed:
 		h.driver.Post(configuration.Peers{Live: e.Live, Known: e.Known})
+		h.placement.SetHosts(h.poolCandidates(e.Live))
+		h.place()
+		h.driver.Post(limit.Peers{Live: e.Live})
+	case limit.Violation:
+		metrics.GetOrRegisterCounter("limit.violations", h.registry).Inc(1)
+		h.log.Error().Str("account", string(e.Account)).Msg("invariant violated: " + e.Text)
 	case configuration.Apply:
+		h.driver.Post(limit.Configure{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
+		h.driver.Post(promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
+		h.place()
 		h.log.Info().Uint64("revision", uint64(e.Loaded.Revision)).Msg("configuration in force")
+		h.apply(e.Loaded)
 		h.front.Recheck()
+		h.reporter.wake()
 	case configuration.Reject:
 		h.log.Error().Err(e.Err).Msg("document rejected")
 	default:
+		if h.supervisor.Carry(effect) {
+			return
+		}
 		h.log.Error().Type("effect", effect).Msg("effect unknown")
 	}
 }
 
+// apply keeps the envelope of the revision in force. Effects may be carried out
+// out of order, so an older one is passed over.
+func (h *Host) apply(loaded configuration.Loaded) {
+	envelope, err := environment.DecodeEnvelope(loaded.Data)
+	if err != nil {
+		h.log.Error().Err(err).Msg("envelope not kept")
+		return
+	}
+	for {
+		old := h.applied.Load()
+		if old != nil && old.Revision >= envelope.Revision || h.applied.CompareAndSwap(old, envelope) {
+			return
+		}
+	}
+}
+
+// inForce returns the revision in force and its digest.
+func (h *Host) inForce() (proxy.Revision, environment.Digest) {
+	envelope := h.applied.Load()
+	if envelope == nil {
+		return 0, ""
+	}
+	return envelope.Revision, envelope.Digest
+}
+
 // send delivers control messages to another host. A failed host is dialled too,
 // since probes find out when it is back.
 func (h *Host) send(ctx context.Context, to proxy.HostID, messages []proxy.Message) error {
@@ -39,6 +83,12 @@
 
 // receive hands a control message to the modules.
 func (h *Host) receive(message proxy.Received) {
+	if request, ok := message.Message.(*cancelRequest); ok {
+		ctx, stop := context.WithTimeout(context.Background(), sendTimeout)
+		defer stop()
+		h.front.Cancel(ctx, request.Process, request.Secret)
+		return
+	}
 	h.driver.Post(message)
 }
 
@@ -47,11 +97,17 @@
 func newRegistry() (*inner.Registry, error) {
 	registry := inner.NewRegistry()
 	for kind, message := range map[inner.MessageKind]proxy.Message{
-		1: &member.Ping{},
-		2: &member.Ack{},
-		3: &member.Relay{},
-		4: &configuration.Poll{},
-		5: &configuration.Report{},
+		1:  &member.Ping{},
+		2:  &member.Ack{},
+		3:  &member.Relay{},
+		4:  &configuration.Poll{},
+		5:  &configuration.Report{},
+		6:  &promotion.View{},
+		7:  &promotion.Drain{},
+		8:  &promotion.Drained{},
+		9:  &limit.Ask{},
+		10: &limit.Grant{},
+		11: &cancelRequest{},
 	} {
 		if err := registry.Register(kind, message); err != nil {
 			return nil, fmt.Errorf("control messages: %w", err)
@@ -60,17 +116,87 @@
 	return registry, nil
 }
 
-// share returns this host's connections to each instance of a group.
-func (h *Host) share(group proxy.GroupID) int {
+// poolCandidates returns the hosts that may pool groups: this one and the live
+// ones, without those that are leaving.
+func (h *Host) poolCandidates(live []proxy.HostState) []proxy.HostState {
+	var hosts []proxy.HostState
+	if !h.stopping.Load() {
+		hosts = append(hosts, h.self)
+	}
+	for _, peer := range live {
+		if !peer.Leaving {
+			hosts = append(hosts, peer)
+		}
+	}
+	return hosts
+}
+
+// place tells the promotion module the pool hosts of each group.
+func (h *Host) place() {
 	document, _ := h.configuration.Current()
 	if document == nil {
-		return 0
+		return
+	}
+	live, _ := h.members.Live()
+	hosts := h.poolCandidates(live)
+	for i := range document.Groups {
+		group := &document.Groups[i]
+		placed := promotion.Placed{Group: group.ID}
+		for _, host := range placement.Pools(group, hosts) {
+			placed.Hosts = append(placed.Hosts, host.ID)
+		}
+		h.driver.Post(placed)
+	}
+}
+
+// find returns a group of the document in force.
+func (h *Host) find(id proxy.GroupID) *proxy.Group {
+	document, _ := h.configuration.Current()
+	if document == nil {
+		return nil
 	}
-	_, known := h.members.Live()
-	for _, g := range document.Groups {
-		if g.ID == group {
-			return g.Connections / (known + 1)
+	for i := range document.Groups {
+		if document.Groups[i].ID == id {
+			return &document.Groups[i]
 		}
 	}
-	return 0
+	return nil
+}
+
+// pooled reports whether this host pools a group.
+func (h *Host) pooled(id proxy.GroupID) bool {
+	group := h.find(id)
+	if group == nil {
+		return false
+	}
+	pooled, _ := h.placement.Pooled(group)
+	return pooled
+}
+
+// share returns this host's connections to each instance of a group. One of
+// each pool host's connections is the supervisor's.
+func (h *Host) share(id proxy.GroupID) int {
+	group := h.find(id)
+	if group == nil {
+		return 0
+	}
+	pooled, width := h.placement.Pooled(group)
+	if !pooled {
+		return 0
+	}
+	return group.Connections/width - 1
+}
+
+func (h *Host) observed(o promotion.Observed) { h.driver.Post(o) }
+
+func (h *Host) writing(group proxy.GroupID, count int) {
+	h.driver.Post(promotion.Writing{Group: group, Count: count})
+}
+
+// forwarder lends from this host's pool or another's.
+func (h *Host) forwarder() proxy.Lender {
+	return &inner.Forwarder{
+		Host: h.self.ID, Local: h.pool, Client: h.peers, Placement: h.placement,
+		Catalog: h.configuration, Clock: h.clock,
+	}
 }
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -23,15 +23,22 @@
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/internal/platform"
 	"github.com/auburnyoke/auburnyoke/internal/pool"
+	"github.com/auburnyoke/auburnyoke/internal/supervisor"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/promotion"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/session"
 )
 
 // Intervals of the control decisions.
 const (
 	controlTick = 100 * time.Millisecond
+	// promotionTick is shorter, since a failover waits for several of them.
+	promotionTick = 20 * time.Millisecond
 )
 
 // Host is one entry host.
@@ -46,12 +53,19 @@
 	driver        *Driver
 	configuration *configuration.Table
 	members       *member.Table
+	promotion     *promotion.Machine
+	limits        *limit.Table
+	placement     *placement.Table
+	supervisor    *supervisor.Supervisor
 	pool          *pool.Pool
 	peers         *inner.Client
 	server        *inner.Server
 	front         *front.Server
 	status        *rest.Server
+	reporter      *reporter
+	applied       atomic.Pointer[environment.Envelope]
 	stopping      atomic.Bool
+	aborted       chan struct{}
 }
 
 // New builds a host and returns a function that releases what it holds.
@@ -62,6 +76,7 @@
 	}
 	h := &Host{
 		settings: settings, log: log, clock: NewClock(), registry: metrics.NewRegistry(), store: store,
+		aborted: make(chan struct{}),
 		self: proxy.HostState{
 			ID: settings.Host, Zone: settings.Zone, Address: settings.Peers,
 			Incarnation: newIncarnation(time.Now()),
@@ -91,30 +106,57 @@
 	h.configuration = &configuration.Table{
 		Host: h.self, Key: environment.DocumentKey(h.settings.Environment, h.settings.Stage), Decode: h.decode,
 	}
-	h.members = &member.Table{Self: h.self}
+	h.members = &member.Table{
+		Self: h.self, Prefix: proxy.HostPrefix(h.settings.Environment, h.settings.Stage),
+	}
 	h.driver = &Driver{
 		Clock: h.clock, Store: h.store, Send: h.send, Own: h.own, Log: h.log,
 		Random: rand.New(rand.NewPCG(uint64(h.self.Incarnation), uint64(os.Getpid()))),
 	}
 	h.driver.Add(h.configuration, controlTick)
 	h.driver.Add(h.members, controlTick)
+	h.promotion, err = promotion.New(promotion.Settings{
+		Host: h.self.ID, Incarnation: h.self.Incarnation, Environment: h.settings.Environment,
+		Stage: h.settings.Stage, Timing: promotion.DefaultTiming(),
+	})
+	if err != nil {
+		return fmt.Errorf("promotion: %w", err)
+	}
+	h.driver.Add(h.promotion, promotionTick)
+	h.limits = &limit.Table{
+		Self:   h.self,
+		Prefix: environment.Prefix(h.settings.Environment, h.settings.Stage) + "shares/",
+	}
+	h.driver.Add(h.limits, controlTick)
+	h.placement = placement.NewTable(h.self.ID, h.self.Zone)
+	h.placement.SetHosts([]proxy.HostState{h.self})
+	h.supervisor = &supervisor.Supervisor{
+		Catalog: h.configuration, Stage: h.settings.Stage, Clock: h.clock,
+		User: h.settings.Instances.User, Password: password, Pooled: h.pooled, Observed: h.observed,
+		Interval: h.settings.Instances.Probe, Timeout: h.settings.Instances.Silence, Logger: h.log,
+	}
 	h.pool = &pool.Pool{
-		Catalog: h.configuration, Stage: h.settings.Stage, Leaders: firstLeaders{h.configuration}, Clock: h.clock,
+		Catalog: h.configuration, Stage: h.settings.Stage, Zone: h.self.Zone, Leaders: h.promotion, Clock: h.clock,
 		User: h.settings.Instances.User, Password: password, Share: h.share,
 		ProbeAfter: h.settings.Instances.Idle, ProbeTimeout: h.settings.Instances.Silence,
-		Poll: h.settings.Instances.Probe, Logger: h.log, Metrics: h.registry,
+		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Bound: h.supervisor.Bound, Writing: h.writing,
+		Logger: h.log, Metrics: h.registry,
 	}
 	if err := h.buildPeers(); err != nil {
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: h.configuration, Limiter: admitAll{}, Lender: h.pool, Positions: noPositions{}, Clock: h.clock,
+		Catalog: gate{h}, Limiter: h.limits, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
+		Host: hostNumber(h.self.ID), Canceler: canceler{h},
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
-		Limits: front.Limits{Sessions: h.settings.Clients.Limit},
+		Limits: front.Limits{
+			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
+		},
 	}
 	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
 		return err
 	}
+	h.reporter = newReporter(h)
 	status := &statusServer{page: h.page, registry: h.registry}
 	h.status, err = status.newServer(h.settings.Status)
 	return err
@@ -177,6 +219,13 @@
 	}
 	inside, stopInside := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopInside()
+	go func() {
+		select {
+		case <-h.aborted:
+			stopInside()
+		case <-inside.Done():
+		}
+	}()
 	var running sync.WaitGroup
 	start := func(job func()) {
 		running.Add(1)
@@ -189,6 +238,8 @@
 	defer h.status.Stop()
 	start(func() { h.driver.Run(inside) })
 	start(func() { h.pool.Run(inside) })
+	start(func() { h.supervisor.Run(inside) })
+	start(func() { h.reporter.run(inside) })
 	start(func() { h.peers.Run(inside) })
 	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
 	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
@@ -201,9 +252,16 @@
 	return err
 }
 
+// Abort ends all but the listener for clients at once and announces nothing, as
+// a failure of the host would. It is called at most once; Run's context still
+// ends Run.
+func (h *Host) Abort() { close(h.aborted) }
+
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
+	h.reporter.wake()
 	h.driver.Post(member.Leave{})
+	h.driver.Post(limit.Leave{})
 }
 
 func (h *Host) logError(part string, err error) {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -52,6 +54,7 @@
 	watches map[key]*watch
 	// rounds are closed and replaced when a replica of the group was observed.
 	rounds map[proxy.GroupID]chan struct{}
+	last   map[key]promotion.Observed
 }
 
 // key identifies an instance over all groups.
@@ -105,6 +108,7 @@
 	if s.watches == nil {
 		s.watches = make(map[key]*watch)
 		s.rounds = make(map[proxy.GroupID]chan struct{})
+		s.last = make(map[key]promotion.Observed)
 	}
 	for k, w := range s.watches {
 		if next := wanted[k]; next == nil || next.address != w.address {
@@ -199,8 +203,32 @@
 	s.Observed(o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.last[key{o.Group, o.Instance}] = o
 	if round := s.rounds[o.Group]; round != nil {
 		close(round)
 		delete(s.rounds, o.Group)
 	}
 }
+
+// Bound returns a log position of the instance that was read after the call. It
+// covers everything that the instance had committed before the call. It fails
+// when an observation after the call finds no primary, since the group may get
+// another one long before ctx ends.
+func (s *Supervisor) Bound(ctx context.Context, group proxy.GroupID, instance proxy.InstanceID) (proxy.Position, error) {
+	called := s.Clock.Now()
+	for {
+		s.mu.Lock()
+		o := s.last[key{group, instance}]
+		s.mu.Unlock()
+		if o.Reachable && !o.Recovery && o.Sent >= called {
+			return o.Current, nil
+		}
+		if o.Sent >= called && (!o.Reachable || o.Recovery) {
+			return 0, eris.Errorf("position of %s: it is no reachable primary", instance)
+		}
+		if err := ctx.Err(); err != nil {
+			return 0, fmt.Errorf("position of %s: %w", instance, err)
+		}
+		s.Await(ctx, group)
+	}
+}
--- a/pkg/proxy/promotion/timing.go
+++ b/pkg/proxy/promotion/timing.go
@@ -42,7 +42,8 @@
 	// doubles with each promotion until CalmAfter passes without one.
 	HoldBase, HoldLimit, CalmAfter time.Duration
 	// DrainFor limits how long new writes wait for running ones in a planned
-	// change, and PlanAgain is the wait before the next try; it doubles.
+	// change, and how long a host holds them after the last request of another.
+	// PlanAgain is the wait before the next try; it doubles.
 	DrainFor, PlanAgain time.Duration
 }
 
@@ -52,7 +53,7 @@
 		Lease:        240 * time.Millisecond,
 		Recent:       500 * time.Millisecond,
 		FailAfter:    500 * time.Millisecond,
-		StallAfter:   1500 * time.Millisecond,
+		StallAfter:   1200 * time.Millisecond,
 		LeadWithin:   3 * time.Second,
 		AskFor:       100 * time.Millisecond,
 		ViewFor:      time.Second,
