--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -153,7 +153,7 @@
 			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
 		},
 	}
-	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
+	if h.front.TLS, err = h.clientTLS(); err != nil {
 		return err
 	}
 	h.reporter = newReporter(h)
@@ -164,17 +164,19 @@
 
 // clientTLS returns the source of TLS configurations for client connections,
 // or nil where the settings name no certificate.
-func clientTLS(c ClientSettings) (func() *tls.Config, error) {
-	if c.Certificate == "" {
+func (h *Host) clientTLS() (func() *tls.Config, error) {
+	clients := h.settings.Clients
+	if clients.Certificate == "" {
 		return nil, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
-	if err != nil {
+	certificates := &inner.Certificates{
+		Certificate: clients.Certificate, Key: clients.Key, Clock: h.clock, Logger: h.log,
+	}
+	if err := certificates.Load(); err != nil {
 		return nil, fmt.Errorf("clients.certificate: %w", err)
 	}
-	return func() *tls.Config {
-		return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
-	}, nil
+	config := certificates.Public()
+	return func() *tls.Config { return config }, nil
 }
 
 func readPassword(file string) (string, error) {
--- a/internal/inner/certificates.go
+++ b/internal/inner/certificates.go
@@ -22,7 +22,8 @@
 // authority, and re-reads their files when they change. The exported fields are
 // set before use.
 type Certificates struct {
-	// Certificate, Key and Authority are the names of PEM files.
+	// Certificate, Key and Authority are the names of PEM files. Without an
+	// authority the certificate serves clients only.
 	Certificate string
 	Key         string
 	Authority   string
@@ -79,6 +80,21 @@
 	}
 }
 
+// Public returns a configuration for a listener for clients, which present no
+// certificate.
+func (c *Certificates) Public() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			current, err := c.current()
+			if err != nil {
+				return nil, err
+			}
+			return &current.certificate, nil
+		},
+	}
+}
+
 // Client returns a configuration for connections to other hosts. Hosts are
 // replaced and reached by address, so that the peer must have a certificate of
 // the fleet's authority but need not be named by it.
@@ -159,6 +175,9 @@
 
 func (c *Certificates) read() (content [3][]byte, err error) {
 	for n, name := range []string{c.Certificate, c.Key, c.Authority} {
+		if name == "" {
+			continue
+		}
 		if content[n], err = os.ReadFile(name); err != nil {
 			return content, fmt.Errorf("read certificate file: %w", err)
 		}
@@ -182,6 +201,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("certificate and key: %w", err)
 	}
+	if content[2] == nil {
+		return &identity{certificate: certificate}, nil
+	}
 	authorities := x509.NewCertPool()
 	if !authorities.AppendCertsFromPEM(content[2]) {
 		return nil, eris.New("the authority file has no certificate")
--- /dev/null
+++ b/internal/inner/public_test.go
@@ -0,0 +1,51 @@
+package inner_test
+
+import (
+	"crypto/tls"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	emulator "github.com/auburnyoke/auburnyoke/internal/emulator/authority"
+	"github.com/auburnyoke/auburnyoke/internal/inner"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// stepClock is a clock that each reading moves on by more than the interval at
+// which certificate files are looked at.
+type stepClock struct{ now proxy.Instant }
+
+func (c *stepClock) Now() proxy.Instant {
+	c.now = c.now.Add(time.Minute)
+	return c.now
+}
+
+// Guards against a renewed certificate for clients that needs a restart, and
+// against wrong files that end the service.
+func TestClientCertificateIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	directory := t.TempDir()
+	a, err := emulator.New("clients", time.Now())
+	is.NoErr(err)
+	is.NoErr(a.Write(directory, "front"))
+	c := &inner.Certificates{
+		Certificate: filepath.Join(directory, "front.pem"), Key: filepath.Join(directory, "front.key"),
+		Clock: &stepClock{}, Logger: zerolog.Nop(),
+	}
+	is.NoErr(c.Load())
+	served := func() string {
+		certificate, err := c.Public().GetCertificate(&tls.ClientHelloInfo{})
+		is.NoErr(err)
+		return string(certificate.Certificate[0])
+	}
+	first := served()
+	is.NoErr(a.Write(directory, "front"))
+	second := served()
+	is.True(second != first)
+	is.NoErr(os.WriteFile(c.Key, []byte("no key"), 0o600))
+	is.Equal(served(), second)
+}
