--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -21,20 +21,26 @@
 		t.Fatal(err)
 	}
 	return experiment.Options{
-		User: user, Document: document, Scenario: experiment.Normal, Hosts: 2, Duration: time.Minute, Seed: 1,
+		User: user, Document: document, Scenario: experiment.Normal, Hosts: 3, Duration: 2 * time.Second, Seed: 1,
 		Requests: 150, Log: zerolog.New(io.Discard),
 	}
 }
 
-// TestNormal guards against lost and repeated writes, and reads that miss their
-// session's writes, on an installation without failures. How many requests are
-// answered and how fast is not judged, since it depends on the machine.
-func TestNormal(t *testing.T) {
-	is := is.New(t)
-	report, err := experiment.Run(context.Background(), options(t, "loom-ledger"))
-	is.NoErr(err)
-	is.Equal(report.Requests, 150)
-	is.Equal(report.Violations, experiment.Violations{})
+// TestViolations guards against lost and repeated writes, and reads that miss
+// their session's writes. How many requests are answered and how fast is not
+// judged, since it depends on the machine.
+func TestViolations(t *testing.T) {
+	for _, scenario := range []experiment.Scenario{experiment.Normal, experiment.PrimaryKilled, experiment.HostKilled} {
+		t.Run(string(scenario), func(t *testing.T) {
+			is := is.New(t)
+			o := options(t, "loom-ledger")
+			o.Scenario = scenario
+			report, err := experiment.Run(context.Background(), o)
+			is.NoErr(err)
+			is.Equal(report.Requests, o.Requests)
+			is.Equal(report.Violations, experiment.Violations{})
+		})
+	}
 }
 
 // TestOptions guards against runs without bounds.
