--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -187,7 +187,15 @@
 	return group.Connections/width - 1
 }
 
-func (h *Host) observed(o promotion.Observed) { h.driver.Post(o) }
+// observed hands an observation to the promotion module and tells the pool how
+// far a replica of the current term has come.
+func (h *Host) observed(o promotion.Observed) {
+	h.driver.Post(o)
+	leadership, known := h.promotion.Leader(o.Group)
+	if known && o.Recovery && o.Mark.Follows(leadership.Term) {
+		h.pool.Advance(o.Group, o.Instance, leadership.Term, o.Replayed, o.Sent)
+	}
+}
 
 func (h *Host) writing(group proxy.GroupID, count int) {
 	h.driver.Post(promotion.Writing{Group: group, Count: count})
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -139,7 +139,7 @@
 		Catalog: h.configuration, Stage: h.settings.Stage, Zone: h.self.Zone, Leaders: h.promotion, Clock: h.clock,
 		User: h.settings.Instances.User, Password: password, Share: h.share,
 		ProbeAfter: h.settings.Instances.Idle, ProbeTimeout: h.settings.Instances.Silence,
-		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Bound: h.supervisor.Bound, Writing: h.writing,
+		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Bound: h.supervisor.Bound, Linger: h.settings.Instances.Linger, Writing: h.writing,
 		Logger: h.log, Metrics: h.registry,
 	}
 	if err := h.buildPeers(); err != nil {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -69,6 +69,9 @@
 	// Idle is the time after which an unused connection is probed before it is
 	// lent.
 	Idle time.Duration `json:"idle,default=2s"`
+	// Linger is how long a read waits for a replica that is about to catch up,
+	// before it goes to the primary.
+	Linger time.Duration `json:"linger,default=75ms"`
 	// Silence limits the answer to a probe.
 	Silence time.Duration `json:"silence,default=500ms"`
 }
@@ -140,6 +143,7 @@
 	add(checkFile("fleet.authority", s.Fleet.Authority))
 	add(checkRange("instances.probe", s.Instances.Probe, 10*time.Millisecond, 10*time.Second))
 	add(checkRange("instances.idle", s.Instances.Idle, 10*time.Millisecond, time.Hour))
+	add(checkRange("instances.linger", s.Instances.Linger, 0, 10*time.Second))
 	add(checkRange("instances.silence", s.Instances.Silence, 10*time.Millisecond, time.Minute))
 	add(checkRange("grace", s.Grace, time.Second, time.Hour))
 	if s.Instances.User == "" {
--- a/internal/pool/bound.go
+++ b/internal/pool/bound.go
@@ -70,3 +70,11 @@
 		p.await(ctx, changed)
 	}
 }
+
+// Advance tells what somebody else measured of a replica that follows a term,
+// which may be newer than the pool's own measurement.
+func (p *Pool) Advance(group proxy.GroupID, id proxy.InstanceID, term proxy.Term, at proxy.Position, seen proxy.Instant) {
+	if p.states.advance(group, id, term, at, seen) {
+		p.changes.announce()
+	}
+}
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -69,6 +69,7 @@
 
 // choose waits until there is an instance for the ask.
 func (p *Pool) choose(ctx context.Context, ask proxy.Ask) (*instance, proxy.Lent, error) {
+	began := p.Clock.Now()
 	for {
 		if p.ctx.Err() != nil {
 			return nil, proxy.Lent{}, proxy.Refuse(proxy.CannotConnectNow, "the pool is shutting down")
@@ -78,6 +79,10 @@
 		if choice.Kind == routing.Refuse || ctx.Err() != nil {
 			return nil, proxy.Lent{}, p.busy("group %s: no connection in time: %s", ask.Group, choice.Reason)
 		}
+		if choice.Kind == routing.Primary && p.lingers(ask, began) {
+			p.Await(ctx, ask.Group)
+			continue
+		}
 		if choice.Kind != routing.Wait {
 			if i := p.find(ask.Group, choice.Instance); i != nil {
 				return i, proxy.Lent{Instance: choice.Instance, Primary: choice.Kind == routing.Primary, Term: choice.Term}, nil
@@ -98,16 +103,32 @@
 
 // choice asks the routing for an instance.
 func (p *Pool) choice(ask proxy.Ask) routing.Choice {
-	leadership, known := p.Leaders.Leader(ask.Group)
-	states, slots := p.candidates(ask.Group, leadership.Primary)
-	return routing.Choose(p.Clock.Now(), ask, routing.Table{
+	return routing.Choose(p.Clock.Now(), ask, p.table(ask.Group))
+}
+
+// table is what the routing depends on.
+func (p *Pool) table(group proxy.GroupID) routing.Table {
+	leadership, known := p.Leaders.Leader(group)
+	states, slots := p.candidates(group, leadership.Primary)
+	return routing.Table{
 		Leadership: leadership,
 		Known:      known,
 		States:     states,
 		Zone:       p.Zone,
 		Slots:      slots,
 		Horizon:    p.Horizon,
-	})
+	}
+}
+
+// lingers reports that a read that arrived at began should wait for a replica
+// rather than use the primary.
+func (p *Pool) lingers(ask proxy.Ask, began proxy.Instant) bool {
+	if p.Linger == 0 || p.Await == nil || ask.Access != proxy.Read || ask.After.Position == beyondLog {
+		return false
+	}
+	now := p.Clock.Now()
+	left := p.Linger - now.Sub(began)
+	return left > 0 && routing.Soon(now, ask, p.table(ask.Group), p.Linger)
 }
 
 // lendFrom lends a connection of the instance. It returns errMoved when another
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,9 @@
 	// Bound returns a log position of the group's primary that was read after
 	// the call. Without it reads that need a bound go to the primary.
 	Bound func(context.Context, proxy.GroupID, proxy.InstanceID) (proxy.Position, error)
+	// Linger is how long a read without an age waits for a replica that is
+	// about to catch up, before it goes to the primary.
+	Linger time.Duration
 	// Writing is called when the number of write loans of a group changes and
 	// may be nil.
 	Writing func(proxy.GroupID, int)
--- a/internal/pool/states.go
+++ b/internal/pool/states.go
@@ -67,6 +67,22 @@
 	return state
 }
 
+// advance records that a replica of a term has replayed a position.
+func (s *states) advance(group proxy.GroupID, id proxy.InstanceID, term proxy.Term, at proxy.Position, seen proxy.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.group(group)
+	state, known := g.states[id]
+	if !known || state.Primary || state.Term != term || at <= state.Replayed {
+		return false
+	}
+	state.Replayed = at
+	state.Seen = max(state.Seen, seen)
+	g.follow(&state, false)
+	g.states[id] = state
+	return true
+}
+
 func (s *states) group(id proxy.GroupID) *groupStates {
 	if s.groups == nil {
 		s.groups = make(map[proxy.GroupID]*groupStates)
--- a/pkg/proxy/routing/routing.go
+++ b/pkg/proxy/routing/routing.go
@@ -155,3 +155,22 @@
 	}
 	return Choice{Kind: Wait, Reason: "the primary takes no new work"}
 }
+
+// Soon reports whether a replica can be expected to serve the read within a
+// wait: one that follows the term and was current at most that long ago.
+// Waiting for a replica that lags more would only delay the read.
+func Soon(now proxy.Instant, ask proxy.Ask, t Table, wait time.Duration) bool {
+	if ask.Access != proxy.Read || !t.Known {
+		return false
+	}
+	for n := range t.States {
+		s := &t.States[n]
+		if s.Seen == 0 || s.Primary || s.Instance == t.Leadership.Primary || s.Term != t.Leadership.Term {
+			continue
+		}
+		if s.Current != 0 && now.Sub(s.Current) <= wait {
+			return true
+		}
+	}
+	return false
+}
