--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -188,11 +188,12 @@
 }
 
 // observed hands an observation to the promotion module and tells the pool how
-// far a replica of the current term has come.
+// far an instance of the current term has come.
 func (h *Host) observed(o promotion.Observed) {
 	h.driver.Post(o)
 	leadership, known := h.promotion.Leader(o.Group)
-	if known && o.Recovery && o.Mark.Follows(leadership.Term) {
+	leads := o.Reachable && !o.Recovery && o.Instance == leadership.Primary
+	if known && (leads || o.Recovery && o.Mark.Follows(leadership.Term)) {
 		h.pool.Advance(o.Group, o.Instance, leadership.Term, o.Replayed, o.Sent)
 	}
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -71,7 +71,7 @@
 	Idle time.Duration `json:"idle,default=2s"`
 	// Linger is how long a read waits for a replica that is about to catch up,
 	// before it goes to the primary.
-	Linger time.Duration `json:"linger,default=75ms"`
+	Linger time.Duration `json:"linger,default=100ms"`
 	// Silence limits the answer to a probe.
 	Silence time.Duration `json:"silence,default=500ms"`
 }
--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -55,7 +55,7 @@
 			Certificate: n.file(string(id) + ".pem"), Key: n.file(string(id) + ".key"), Authority: n.file("authority.pem"),
 		},
 		Instances: daemon.InstancesSettings{
-			User: instanceUser, Probe: 100 * time.Millisecond, Idle: 2 * time.Second, Silence: 500 * time.Millisecond,
+			User: instanceUser, Probe: 100 * time.Millisecond, Idle: 2 * time.Second, Silence: 500 * time.Millisecond, Linger: 100 * time.Millisecond,
 		},
 		Grace: grace,
 	}
--- a/internal/pool/bound.go
+++ b/internal/pool/bound.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// Advance tells what somebody else measured of a replica that follows a term,
-// which may be newer than the pool's own measurement.
+// Advance tells what somebody else measured of an instance that leads or
+// follows a term, which may be newer than the pool's own measurement.
 func (p *Pool) Advance(group proxy.GroupID, id proxy.InstanceID, term proxy.Term, at proxy.Position, seen proxy.Instant) {
 	if p.states.advance(group, id, term, at, seen) {
 		p.changes.announce()
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -80,7 +80,7 @@
 			return nil, proxy.Lent{}, p.busy("group %s: no connection in time: %s", ask.Group, choice.Reason)
 		}
 		if choice.Kind == routing.Primary && p.lingers(ask, began) {
-			p.Await(ctx, ask.Group)
+			p.linger(ctx, ask.Group)
 			continue
 		}
 		if choice.Kind != routing.Wait {
@@ -120,6 +120,14 @@
 	}
 }
 
+// linger waits for the next observation of the group, but not longer than a
+// replica that is about to catch up should take.
+func (p *Pool) linger(ctx context.Context, group proxy.GroupID) {
+	ctx, cancel := context.WithTimeout(ctx, p.Linger)
+	defer cancel()
+	p.Await(ctx, group)
+}
+
 // lingers reports that a read that arrived at began should wait for a replica
 // rather than use the primary.
 func (p *Pool) lingers(ask proxy.Ask, began proxy.Instant) bool {
--- a/internal/pool/states.go
+++ b/internal/pool/states.go
@@ -67,18 +67,19 @@
 	return state
 }
 
-// advance records that a replica of a term has replayed a position.
+// advance records that an instance of a term has reached a position. A position
+// of the primary is a mark by which the staleness of replicas is judged.
 func (s *states) advance(group proxy.GroupID, id proxy.InstanceID, term proxy.Term, at proxy.Position, seen proxy.Instant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.group(group)
 	state, known := g.states[id]
-	if !known || state.Primary || state.Term != term || at <= state.Replayed {
+	if !known || state.Term != term || g.term != term || seen < state.Seen || at < state.Replayed {
 		return false
 	}
 	state.Replayed = at
-	state.Seen = max(state.Seen, seen)
-	g.follow(&state, false)
+	state.Seen = seen
+	g.follow(&state, state.Primary)
 	g.states[id] = state
 	return true
 }
