--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -34,6 +34,7 @@
 	Own func(ctx context.Context, effect proxy.Effect)
 	Log zerolog.Logger
 
+	once    sync.Once
 	modules []tended
 	tasks   chan task
 	mu      sync.Mutex
@@ -66,8 +67,7 @@
 
 // Run drives the modules until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
-	d.tasks = make(chan task, driverBacklog)
-	d.watches = make(map[proxy.Key]context.CancelFunc)
+	d.prepare()
 	for range driverWorkers {
 		d.running.Add(1)
 		go d.work(ctx)
@@ -80,6 +80,14 @@
 	d.running.Wait()
 }
 
+// prepare makes the queue, in which effects of events before Run wait.
+func (d *Driver) prepare() {
+	d.once.Do(func() {
+		d.tasks = make(chan task, driverBacklog)
+		d.watches = make(map[proxy.Key]context.CancelFunc)
+	})
+}
+
 // Post hands an event to every module.
 func (d *Driver) Post(event proxy.Event) {
 	for _, t := range d.modules {
@@ -88,6 +96,7 @@
 }
 
 func (d *Driver) handle(module proxy.Module, event proxy.Event) {
+	d.prepare()
 	for _, effect := range gather(module.Handle(d.Clock.Now(), event)) {
 		select {
 		case d.tasks <- task{module: module, effect: effect}:
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -244,6 +244,7 @@
 	start(func() { h.reporter.run(inside) })
 	start(func() { h.peers.Run(inside) })
 	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
+	h.seed()
 	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
 	stopped := context.AfterFunc(ctx, h.announceStop)
 	defer stopped()
@@ -260,6 +261,15 @@
 // ends Run.
 func (h *Host) Abort() { close(h.aborted) }
 
+// seed tells the membership the hosts of the settings.
+func (h *Host) seed() {
+	var seeds []proxy.HostState
+	for _, s := range h.settings.Seeds {
+		seeds = append(seeds, proxy.HostState{ID: s.Host, Zone: s.Zone, Address: s.Address})
+	}
+	h.driver.Post(member.Seed{Hosts: seeds})
+}
+
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
 	h.reporter.wake()
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -27,9 +27,12 @@
 	Platform string `json:"platform"`
 	// Listen is the address for clients, Peers for other hosts, Status for the
 	// HTTP status listener; each is an IP number and port.
-	Listen    string            `json:"listen"`
-	Peers     string            `json:"peers"`
-	Status    string            `json:"status"`
+	Listen string `json:"listen"`
+	Peers  string `json:"peers"`
+	Status string `json:"status"`
+	// Seeds are other hosts that this one asks first where the platform's list
+	// cannot be read.
+	Seeds     []SeedSettings    `json:"seeds,optional"`
 	Clients   ClientSettings    `json:"clients"`
 	Fleet     FleetSettings     `json:"fleet"`
 	Instances InstancesSettings `json:"instances"`
@@ -38,6 +41,13 @@
 	Grace time.Duration `json:"grace,default=30s"`
 }
 
+// SeedSettings name another host.
+type SeedSettings struct {
+	Host    proxy.HostID `json:"host"`
+	Zone    proxy.Zone   `json:"zone"`
+	Address string       `json:"address"`
+}
+
 // ClientSettings are the settings of client connections.
 type ClientSettings struct {
 	// Certificate and Key are PEM files. Without them only open routes can be
@@ -135,6 +145,12 @@
 	add(checkAddress("listen", s.Listen))
 	add(checkAddress("peers", s.Peers))
 	add(checkAddress("status", s.Status))
+	for i, seed := range s.Seeds {
+		key := fmt.Sprintf("seeds[%d]", i)
+		add(proxy.CheckID(key+".host", string(seed.Host)))
+		add(proxy.CheckID(key+".zone", string(seed.Zone)))
+		add(checkAddress(key+".address", seed.Address))
+	}
 	add(checkPair(s.Clients))
 	add(checkRange("clients.limit", s.Clients.Limit, 1, 1_000_000))
 	add(checkRange("clients.timeout", s.Clients.Timeout, 100*time.Millisecond, 5*time.Minute))
--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -50,6 +50,7 @@
 		{"missing file", "authority: testdata/valid.yaml", "authority: testdata/none.pem", []string{"fleet.authority", "testdata/none.pem", "readable file"}},
 		{"value above its range", "user: auburnyoke", "user: auburnyoke\n  probe: 1h", []string{"instances.probe", "1h", "10ms", "10s"}},
 		{"number for a text", "zone: gondar", "zone: [gondar]", []string{"[2:7]", "Zone"}},
+		{"wrong seed", "zone: gondar", "zone: gondar\nseeds: [{host: other, zone: gondar, address: other:1}]", []string{"seeds[0].address", "other:1"}},
 		{"no YAML", "host: loom-1", "host: [", []string{"decode"}},
 	}
 	for _, c := range cases {
