--- a/internal/experiment/client.go
+++ b/internal/experiment/client.go
@@ -9,6 +9,8 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Limits of a request, above the timeouts of the routes that the load uses.
@@ -45,7 +47,8 @@
 	state   string
 	text    string
 	replica bool
-	missed  int // acknowledged writes of the session that a read did not return
+	again   bool // sent again on another connection
+	missed  int  // acknowledged writes of the session that a read did not return
 }
 
 // client runs a session's requests one after another, late ones at once.
@@ -111,9 +114,33 @@
 	c.writer, c.reader = nil, nil
 }
 
+// request runs a request, and once more where the first connection had ended
+// while it was idle. The token is the same, so that a refusal that is wrongly
+// reported as not run shows as a write that exists twice.
 func (c *client) request(ctx context.Context, r *record) error {
 	ctx, stop := context.WithTimeout(ctx, requestTimeout)
 	defer stop()
+	err := c.attempt(ctx, r)
+	if !isUnsent(err) {
+		return err
+	}
+	r.again = true
+	c.hangUp()
+	c.move()
+	return c.attempt(ctx, r)
+}
+
+// isUnsent reports that no byte of the request was sent, or that the host had
+// ended the session before.
+func isUnsent(err error) bool {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return refused.Severity == "FATAL" && refused.Code == string(proxy.AdminShutdown)
+	}
+	return err != nil && !errors.Is(err, errNoConnect) && pgconn.SafeToRetry(err)
+}
+
+func (c *client) attempt(ctx context.Context, r *record) error {
 	conn, err := c.connection(ctx, r.write)
 	if err != nil {
 		return err
@@ -179,7 +206,7 @@
 			return conn, nil
 		}
 		var refused *pgconn.PgError
-		if errors.As(err, &refused) && refused.Code != "57P01" || attempt == maxDials {
+		if errors.As(err, &refused) && refused.Code != string(proxy.AdminShutdown) || attempt == maxDials {
 			return nil, fmt.Errorf("%w: %w", errNoConnect, err)
 		}
 		c.hangUp()
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -98,7 +98,7 @@
 }
 
 func (n *installation) addReads(r *Report, records []record) {
-	reads, replicas, writes, answers := 0, 0, 0, 0
+	reads, replicas, writes, answers, again := 0, 0, 0, 0, 0
 	for _, one := range records {
 		if one.write {
 			writes++
@@ -115,8 +115,12 @@
 		if one.state == answered {
 			answers++
 		}
+		if one.again {
+			again++
+		}
 	}
 	r.add("requests, answered, writes", fmt.Sprintf("%d, %d, %s", len(records), answers, percent(writes, len(records))), "", true)
+	r.add("requests sent again after an idle session ended", fmt.Sprint(again), "", true)
 	bound := 0.9
 	if n.options.lag() >= longLag {
 		bound = 0.7
