--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -84,8 +84,10 @@
 	return effects, float64(time.Since(start).Nanoseconds()) / 1000
 }
 
-// heap returns the bytes in use after a collection.
+// heap returns the bytes in use after a collection. The second one frees what
+// pools still held during the first.
 func heap() float64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -73,5 +73,5 @@
 
 // All returns the measurements of all roles.
 func All() []Measure {
-	return []Measure{Member, Configuration, Limits, Promotion, Document, Front}
+	return []Measure{Member, Configuration, Limits, Promotion, Supervisor, Document, Front}
 }
