--- a/internal/inner/inner_test.go
+++ b/internal/inner/inner_test.go
@@ -46,8 +46,9 @@
 }
 
 // Guards against answers of one loan that reach another on the same peer
-// connection, a connection whose number is lost on the way, a connection that is not reset between the sessions of two fronts,
-// and a confirmation that loses its bookmark.
+// connection, a connection whose number is lost on the way, a connection that is
+// not reset between the sessions of two fronts, and a confirmation that loses its
+// bookmark.
 func TestRemoteLoans(t *testing.T) {
 	is := is.New(t)
 	h := startHost(t, 2)
