--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -139,7 +139,7 @@
 		Catalog: h.configuration, Stage: h.settings.Stage, Zone: h.self.Zone, Leaders: h.promotion, Clock: h.clock,
 		User: h.settings.Instances.User, Password: password, Share: h.share,
 		ProbeAfter: h.settings.Instances.Idle, ProbeTimeout: h.settings.Instances.Silence,
-		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Bound: h.supervisor.Bound, Writing: h.writing,
+		Poll: h.settings.Instances.Probe, Await: h.supervisor.Await, Bound: h.supervisor.Bound, Linger: h.settings.Instances.Linger, Writing: h.writing,
 		Logger: h.log, Metrics: h.registry,
 	}
 	if err := h.buildPeers(); err != nil {
@@ -153,7 +153,7 @@
 			Sessions: h.settings.Clients.Limit, Authentication: h.settings.Clients.Timeout, Grace: h.settings.Grace,
 		},
 	}
-	if h.front.TLS, err = clientTLS(h.settings.Clients); err != nil {
+	if h.front.TLS, err = h.clientTLS(); err != nil {
 		return err
 	}
 	h.reporter = newReporter(h)
@@ -164,17 +164,19 @@
 
 // clientTLS returns the source of TLS configurations for client connections,
 // or nil where the settings name no certificate.
-func clientTLS(c ClientSettings) (func() *tls.Config, error) {
-	if c.Certificate == "" {
+func (h *Host) clientTLS() (func() *tls.Config, error) {
+	clients := h.settings.Clients
+	if clients.Certificate == "" {
 		return nil, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
-	if err != nil {
+	certificates := &inner.Certificates{
+		Certificate: clients.Certificate, Key: clients.Key, Clock: h.clock, Logger: h.log,
+	}
+	if err := certificates.Load(); err != nil {
 		return nil, fmt.Errorf("clients.certificate: %w", err)
 	}
-	return func() *tls.Config {
-		return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
-	}, nil
+	config := certificates.Public()
+	return func() *tls.Config { return config }, nil
 }
 
 func readPassword(file string) (string, error) {
@@ -242,11 +244,13 @@
 	start(func() { h.reporter.run(inside) })
 	start(func() { h.peers.Run(inside) })
 	start(func() { h.logError("peers", h.server.Run(inside, peers)) })
+	h.seed()
 	h.log.Info().Str("listen", h.settings.Listen).Str("peers", h.settings.Peers).Msg("host started")
 	stopped := context.AfterFunc(ctx, h.announceStop)
 	defer stopped()
 	err = h.front.Run(ctx, clients)
 	h.log.Info().Msg("host stopping")
+	h.farewell()
 	stopInside()
 	running.Wait()
 	return err
@@ -257,6 +261,15 @@
 // ends Run.
 func (h *Host) Abort() { close(h.aborted) }
 
+// seed tells the membership the hosts of the settings.
+func (h *Host) seed() {
+	var seeds []proxy.HostState
+	for _, s := range h.settings.Seeds {
+		seeds = append(seeds, proxy.HostState{ID: s.Host, Zone: s.Zone, Address: s.Address})
+	}
+	h.driver.Post(member.Seed{Hosts: seeds})
+}
+
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
 	h.reporter.wake()
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -27,9 +27,12 @@
 	Platform string `json:"platform"`
 	// Listen is the address for clients, Peers for other hosts, Status for the
 	// HTTP status listener; each is an IP number and port.
-	Listen    string            `json:"listen"`
-	Peers     string            `json:"peers"`
-	Status    string            `json:"status"`
+	Listen string `json:"listen"`
+	Peers  string `json:"peers"`
+	Status string `json:"status"`
+	// Seeds are other hosts that this one asks first where the platform's list
+	// cannot be read.
+	Seeds     []SeedSettings    `json:"seeds,optional"`
 	Clients   ClientSettings    `json:"clients"`
 	Fleet     FleetSettings     `json:"fleet"`
 	Instances InstancesSettings `json:"instances"`
@@ -38,6 +41,13 @@
 	Grace time.Duration `json:"grace,default=30s"`
 }
 
+// SeedSettings name another host.
+type SeedSettings struct {
+	Host    proxy.HostID `json:"host"`
+	Zone    proxy.Zone   `json:"zone"`
+	Address string       `json:"address"`
+}
+
 // ClientSettings are the settings of client connections.
 type ClientSettings struct {
 	// Certificate and Key are PEM files. Without them only open routes can be
@@ -69,6 +79,9 @@
 	// Idle is the time after which an unused connection is probed before it is
 	// lent.
 	Idle time.Duration `json:"idle,default=2s"`
+	// Linger is how long a read waits for a replica that is about to catch up,
+	// before it goes to the primary.
+	Linger time.Duration `json:"linger,default=100ms"`
 	// Silence limits the answer to a probe.
 	Silence time.Duration `json:"silence,default=500ms"`
 }
@@ -132,6 +145,12 @@
 	add(checkAddress("listen", s.Listen))
 	add(checkAddress("peers", s.Peers))
 	add(checkAddress("status", s.Status))
+	for i, seed := range s.Seeds {
+		key := fmt.Sprintf("seeds[%d]", i)
+		add(proxy.CheckID(key+".host", string(seed.Host)))
+		add(proxy.CheckID(key+".zone", string(seed.Zone)))
+		add(checkAddress(key+".address", seed.Address))
+	}
 	add(checkPair(s.Clients))
 	add(checkRange("clients.limit", s.Clients.Limit, 1, 1_000_000))
 	add(checkRange("clients.timeout", s.Clients.Timeout, 100*time.Millisecond, 5*time.Minute))
@@ -140,6 +159,7 @@
 	add(checkFile("fleet.authority", s.Fleet.Authority))
 	add(checkRange("instances.probe", s.Instances.Probe, 10*time.Millisecond, 10*time.Second))
 	add(checkRange("instances.idle", s.Instances.Idle, 10*time.Millisecond, time.Hour))
+	add(checkRange("instances.linger", s.Instances.Linger, 0, 10*time.Second))
 	add(checkRange("instances.silence", s.Instances.Silence, 10*time.Millisecond, time.Minute))
 	add(checkRange("grace", s.Grace, time.Second, time.Hour))
 	if s.Instances.User == "" {
