--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -191,7 +191,8 @@
 // serve runs one client connection.
 func (i *Instance) serve(conn net.Conn) {
 	// A client that sends nothing must not keep the instance from closing.
-	stop := context.AfterFunc(i.ctx, func() { _ = conn.Close() })
+	accepted := conn
+	stop := context.AfterFunc(i.ctx, func() { _ = accepted.Close() })
 	defer stop()
 	conn, isReplica := i.replicas.sort(conn)
 	if isReplica {
