--- a/cmd/auburnyoked/main.go
+++ b/cmd/auburnyoked/main.go
@@ -3,21 +3,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/auburnyoke/auburnyoke/internal/daemon"
-)
-
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/auburnyoke/auburnyoke/internal/program"
 )
 
 type options struct {
@@ -27,17 +19,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "auburnyoked:", err)
-		os.Exit(exitFailed)
-	}
+	program.Main("auburnyoked", &o, func() error { return run(o) })
 }
 
 func run(o options) error {
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -3,13 +3,11 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"github.com/auburnyoke/auburnyoke/internal/capacity"
+	"github.com/auburnyoke/auburnyoke/internal/program"
 )
 
 type options struct {
@@ -18,17 +16,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "capacity:", err)
-		os.Exit(1)
-	}
+	program.Main("capacity", &o, func() error { return run(o) })
 }
 
 func run(o options) error {
--- a/cmd/emulated-authority/main.go
+++ b/cmd/emulated-authority/main.go
@@ -2,13 +2,10 @@
 package main
 
 import (
-	"errors"
-	"fmt"
-	"os"
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/authority"
-	"github.com/jessevdk/go-flags"
+	"github.com/auburnyoke/auburnyoke/internal/program"
 )
 
 type options struct {
@@ -20,19 +17,13 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(2)
-	}
+	program.Main("emulated-authority", &o, func() error { return run(o) })
+}
+
+func run(o options) error {
 	a, err := authority.New("emulated authority", time.Now())
-	if err == nil {
-		err = a.Write(o.Directory, o.Positional.Names...)
-	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "emulated-authority:", err)
-		os.Exit(1)
+		return err
 	}
+	return a.Write(o.Directory, o.Positional.Names...)
 }
--- a/cmd/emulated-platform/main.go
+++ b/cmd/emulated-platform/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -15,8 +14,8 @@
 	"syscall"
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
+	"github.com/auburnyoke/auburnyoke/internal/program"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
-	"github.com/jessevdk/go-flags"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest"
 )
@@ -28,17 +27,7 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			os.Exit(0)
-		}
-		os.Exit(2)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "emulated-platform:", err)
-		os.Exit(1)
-	}
+	program.Main("emulated-platform", &o, func() error { return run(o) })
 }
 
 func run(o options) error {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -149,18 +149,10 @@
 	}
 }
 
-// find returns a group of the document in force.
+// find returns a group of the document in force, or nil.
 func (h *Host) find(id proxy.GroupID) *proxy.Group {
 	document, _ := h.configuration.Current()
-	if document == nil {
-		return nil
-	}
-	for i := range document.Groups {
-		if document.Groups[i].ID == id {
-			return &document.Groups[i]
-		}
-	}
-	return nil
+	return document.Group(id)
 }
 
 // pooled reports whether this host pools a group.
--- a/internal/inner/forwarder.go
+++ b/internal/inner/forwarder.go
@@ -121,13 +121,5 @@
 
 func (f *Forwarder) group(id proxy.GroupID) *proxy.Group {
 	document, _ := f.Catalog.Current()
-	if document == nil {
-		return nil
-	}
-	for n := range document.Groups {
-		if document.Groups[n].ID == id {
-			return &document.Groups[n]
-		}
-	}
-	return nil
+	return document.Group(id)
 }
--- a/internal/pool/candidates.go
+++ b/internal/pool/candidates.go
@@ -58,13 +58,5 @@
 // group returns the description of a group in the document in force, or nil.
 func (p *Pool) group(id proxy.GroupID) *proxy.Group {
 	document, _ := p.Catalog.Current()
-	if document == nil {
-		return nil
-	}
-	for n := range document.Groups {
-		if document.Groups[n].ID == id {
-			return &document.Groups[n]
-		}
-	}
-	return nil
+	return document.Group(id)
 }
--- a/pkg/proxy/document.go
+++ b/pkg/proxy/document.go
@@ -14,6 +14,19 @@
 	Isolation time.Duration `yaml:"isolation" json:"isolation"`
 }
 
+// Group returns the database group with an id, or nil.
+func (d *Document) Group(id GroupID) *Group {
+	if d == nil {
+		return nil
+	}
+	for i := range d.Groups {
+		if d.Groups[i].ID == id {
+			return &d.Groups[i]
+		}
+	}
+	return nil
+}
+
 // Account is a client account.
 type Account struct {
 	ID AccountID `yaml:"id" json:"id"`
--- /dev/null
+++ b/pkg/proxy/queue/main_test.go
@@ -0,0 +1,9 @@
+package queue_test
+
+import (
+	"testing"
+
+	"github.com/auburnyoke/auburnyoke/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
