--- a/pkg/proxy/limit/bound_test.go
+++ b/pkg/proxy/limit/bound_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,22 @@
 	"pgregory.net/rapid"
 )
 
+// defaultChecks keeps the run with the race detector to a few seconds.
+const defaultChecks = "10"
+
+// TestMain sets the number of checks where the command line does not.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		if err := flag.Set("rapid.checks", defaultChecks); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
 // reference is a token bucket over the whole fleet. An admission that leaves it
 // below zero ends a window in which more than rate*w + burst was admitted, and
 // its lowest level is the greatest excess over all windows, negated. Levels are
@@ -232,7 +249,7 @@
 // slots used by two hosts, grants used after a pause, and tokens that appear
 // with a revision, a restart or a takeover. Replay a failure with -rapid.failfile
 // or -rapid.seed; the long run is
-// go test ./pkg/proxy/limit -run Bound -rapid.checks 20000 -timeout 2h.
+// go test ./pkg/proxy/limit -rapid.checks 20000 -timeout 4h.
 func TestBound(t *testing.T) {
 	total, takeovers := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
