--- a/pkg/proxy/limit/expiry_test.go
+++ b/pkg/proxy/limit/expiry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"pgregory.net/rapid"
 )
 
@@ -47,7 +48,7 @@
 // disturb cuts off or pauses the first host, or changes the limit.
 func (b *bound) disturb(t *rapid.T, limits proxy.Account) {
 	p := b.current[0]
-	switch rapid.SampledFrom([]string{"none", "cut", "alone", "pause", "document", "remove", "leave"}).Draw(t, "disturbance") {
+	switch rapid.SampledFrom([]string{"none", "cut", "alone", "pause", "document", "remove", "restart", "leave", "lease"}).Draw(t, "disturbance") {
 	case "cut":
 		p.side = 1
 	case "alone":
@@ -65,9 +66,26 @@
 		b.put(&proxy.Document{})
 		b.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "removed")) * tick)
 		b.put(&proxy.Document{Accounts: accounts})
-	case "leave":
+	case "restart":
 		b.end(p)
 		b.launch(0)
+	case "leave":
+		// A giver stops; its slots are free once its grants have ended.
+		b.hide(b.current[1])
+		b.handle(b.current[1], limit.Leave{})
+	case "lease":
+		// A giver loses its slots while the first host still asks it.
+		b.current[1].offline = true
+		b.hide(b.current[1])
+		b.flood(b.lease, b.lease, limits.ID, p)
+	}
+}
+
+// hide takes a process off the lists of all hosts but the first.
+func (b *bound) hide(p *process) {
+	p.hidden = true
+	for _, q := range b.current[1:] {
+		b.announce(q)
 	}
 }
 
