--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -146,7 +146,7 @@
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: gate{h}, Limiter: h.limits, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
+		Catalog: gate{h}, Limiter: Patience{Limiter: h.limits, Clock: h.clock}, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
 		Host: hostNumber(h.self.ID), Canceler: canceler{h},
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
 		Limits: front.Limits{
--- a/pkg/proxy/limit/bound_test.go
+++ b/pkg/proxy/limit/bound_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburnyoke/auburnyoke/internal/seeded"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/matryer/is"
@@ -17,15 +18,10 @@
 
 // TestMain sets the number of checks where the command line does not.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
-	if !given {
-		if err := flag.Set("rapid.checks", defaultChecks); err != nil {
-			panic(err)
-		}
+	if err := flag.Set("rapid.checks", defaultChecks); err != nil {
+		panic(err)
 	}
-	m.Run()
+	seeded.Main(m)
 }
 
 // reference is a token bucket over the whole fleet. An admission that leaves it
--- a/pkg/proxy/limit/main_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package limit_test
-
-import (
-	"testing"
-
-	"github.com/auburnyoke/auburnyoke/internal/seeded"
-)
-
-func TestMain(m *testing.M) { seeded.Main(m) }
--- a/pkg/proxy/promotion/machine_test.go
+++ b/pkg/proxy/promotion/machine_test.go
@@ -4,11 +4,12 @@
 	"encoding/binary"
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/internal/seeded"
 )
 
 // defaultChecks keeps a run without flags to a few seconds. The long run sets
@@ -16,15 +17,10 @@
 const defaultChecks = "10"
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	chosen := false
-	flag.Visit(func(f *flag.Flag) { chosen = chosen || f.Name == "rapid.checks" })
-	if !chosen {
-		if err := flag.Set("rapid.checks", defaultChecks); err != nil {
-			panic(err)
-		}
+	if err := flag.Set("rapid.checks", defaultChecks); err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
+	seeded.Main(m)
 }
 
 const (
