--- a/internal/emulator/instance/connection.go
+++ b/internal/emulator/instance/connection.go
@@ -103,7 +103,14 @@
 		// These follow a COPY that has failed already.
 		return nil
 	}
-	return c.fail(c.extended(msg))
+	if err := c.fail(c.extended(msg)); err != nil || !c.skipping {
+		return err
+	}
+	// PostgreSQL sends an error at once. It ignores the Flush that follows.
+	if err := c.delay(); err != nil {
+		return err
+	}
+	return c.send()
 }
 
 // fail reports the error of a statement to the client and skips to the next
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -13,7 +13,7 @@
 	s.active = true
 	s.erred = false
 	s.begins = false
-	s.commits = false
+	s.splits = false
 	s.flushed = false
 	s.startTimer()
 }
--- a/internal/front/extended.go
+++ b/internal/front/extended.go
@@ -52,19 +52,20 @@
 	return nil
 }
 
-// afterCommit sends a batch that contains COMMIT before anything follows it, so
-// that the commit is confirmed first. It reports that the batch has failed.
-func (s *session) afterCommit() (bool, error) {
-	if !s.commits {
+// split sends a batch before anything follows a statement that concerns what
+// follows: a COMMIT is confirmed first, and statements that SQL text drops are
+// known to be gone. It reports that the batch has failed.
+func (s *session) split() (bool, error) {
+	if !s.splits {
 		return false, nil
 	}
-	s.commits = false
+	s.splits = false
 	err := s.flushBatch()
 	return s.skipping, err
 }
 
 func (s *session) parse(m *pgproto3.Parse) error {
-	if skip, err := s.afterCommit(); skip || err != nil {
+	if skip, err := s.split(); skip || err != nil {
 		return err
 	}
 	statements := statement.Classify(m.Query)
@@ -86,7 +87,7 @@
 }
 
 func (s *session) bind(m *pgproto3.Bind) error {
-	if skip, err := s.afterCommit(); skip || err != nil {
+	if skip, err := s.split(); skip || err != nil {
 		return err
 	}
 	d := s.state.statements[m.PreparedStatement]
@@ -98,6 +99,9 @@
 }
 
 func (s *session) describe(m *pgproto3.Describe) error {
+	if skip, err := s.split(); skip || err != nil {
+		return err
+	}
 	switch m.ObjectType {
 	case 'S':
 		return s.stage(m, request{kind: askDescribeStatement, name: m.Name, definition: s.state.statements[m.Name]})
@@ -110,11 +114,14 @@
 func (s *session) closeObject(m *pgproto3.Close) error {
 	switch m.ObjectType {
 	case 'S':
+		if skip, err := s.split(); skip || err != nil {
+			return err
+		}
 		previous := s.state.statements[m.Name]
 		s.state.undefine(m.Name, nil)
-		return s.stage(m, request{kind: askClose, name: m.Name, previous: previous})
+		return s.stage(m, request{kind: askCloseStatement, name: m.Name, previous: previous})
 	case 'P':
-		return s.stage(m, request{kind: askClose})
+		return s.stage(m, request{kind: askClosePortal})
 	}
 	return s.refuseBatch(proxy.Refuse(proxy.ProtocolViolation, "Close of object type %q: want S or P", m.ObjectType))
 }
@@ -130,15 +137,17 @@
 	if err := s.admit(statements); err != nil {
 		return s.failBatch(err)
 	}
-	if skip, err := s.afterCommit(); skip || err != nil {
+	if skip, err := s.split(); skip || err != nil {
 		return err
 	}
-	s.commits = slices.ContainsFunc(statements, isCommitStatement)
+	s.splits = slices.ContainsFunc(statements, splitsBatch)
 	s.server.metrics.statements.Inc(1)
 	return s.stage(m, request{kind: askExecute, name: m.Portal, statements: statements})
 }
 
-func isCommitStatement(one statement.Statement) bool { return one.Kind == statement.Commit }
+func splitsBatch(one statement.Statement) bool {
+	return one.Kind == statement.Commit || one.Kind == statement.Deallocate || one.Kind == statement.Discard
+}
 
 // flushBatch sends what the batch holds and relays the replies.
 func (s *session) flushBatch() error {
@@ -238,7 +247,7 @@
 	case r.kind == askParse:
 		r.parsed = parsed[r.name]
 		parsed[r.name] = r.definition
-	case r.kind == askClose && r.previous != nil:
+	case r.kind == askCloseStatement:
 		r.parsed = parsed[r.name]
 		delete(parsed, r.name)
 	}
@@ -257,8 +266,11 @@
 				d = nil
 			}
 		case askBind, askDescribeStatement:
-		case askClose:
+		case askCloseStatement:
 			d = nil
+		case askExecute:
+			s.reparseDeallocated(r.statements, seen)
+			continue
 		default:
 			continue
 		}
@@ -274,10 +286,23 @@
 	}
 }
 
+// reparseDeallocated sends the statements that SQL text drops by name.
+func (s *session) reparseDeallocated(statements []statement.Statement, seen map[string]bool) {
+	for _, one := range statements {
+		d := s.state.statements[one.Name]
+		if one.Kind != statement.Deallocate || d == nil || one.Name == "" || seen[one.Name] {
+			continue
+		}
+		if s.loan.state.parsed[one.Name] == nil {
+			s.reparseOne(d)
+		}
+	}
+}
+
 func (s *session) reparseOne(d *definition) {
 	if d.name != "" && s.loan.state.parsed[d.name] != nil {
 		s.loan.frontend.Send(&pgproto3.Close{ObjectType: 'S', Name: d.name})
-		s.queue = append(s.queue, request{kind: askClose, hidden: true})
+		s.queue = append(s.queue, request{kind: askCloseStatement, hidden: true})
 	}
 	s.loan.frontend.Send(d.message())
 	r := request{kind: askParse, hidden: true, name: d.name, definition: d}
@@ -290,8 +315,7 @@
 func (s *session) undo(requests []request) {
 	for i := len(requests) - 1; i >= 0; i-- {
 		r := requests[i]
-		isStatement := r.kind == askParse || r.kind == askClose && r.previous != nil
-		if !isStatement {
+		if r.kind != askParse && r.kind != askCloseStatement {
 			continue
 		}
 		if !r.hidden {
--- a/internal/front/extended_test.go
+++ b/internal/front/extended_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -13,17 +14,21 @@
 )
 
 // dial opens a session on the open route and speaks the protocol itself.
-func (w *world) dial() *pgproto3.Frontend {
+func (w *world) dial() *pgproto3.Frontend { return w.dialAt(w.address, "open") }
+
+// dialAt opens a session of any server.
+func (w *world) dialAt(address, database string) *pgproto3.Frontend {
 	w.t.Helper()
-	conn, err := net.Dial("tcp", w.address)
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second)) // ends a test that hangs
 	frontend := pgproto3.NewFrontend(conn, conn)
 	frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": "anyone", "database": "open"},
+		Parameters:      map[string]string{"user": "anyone", "database": database, "application_name": "test"},
 	})
 	if err := frontend.Flush(); err != nil {
 		w.t.Fatal(err)
@@ -49,6 +54,7 @@
 			got = append(got, strings.TrimSpace("error "+m.Code+" "+m.Detail))
 		case *pgproto3.CommandComplete:
 			got = append(got, string(m.CommandTag))
+		case *pgproto3.ParameterStatus: // sent when the server learns of values
 		case *pgproto3.DataRow:
 			got = append(got, "row "+string(m.Values[0]))
 		default:
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -16,7 +16,8 @@
 	askDescribeStatement
 	askDescribePortal
 	askExecute
-	askClose
+	askCloseStatement
+	askClosePortal
 	askSync
 	askFailure // a statement sent to fail the transaction
 )
@@ -61,7 +62,7 @@
 		if _, ok := message.(*pgproto3.BindComplete); ok {
 			return complete
 		}
-	case askClose:
+	case askCloseStatement, askClosePortal:
 		if _, ok := message.(*pgproto3.CloseComplete); ok {
 			return complete
 		}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -61,7 +61,7 @@
 	muted    bool // replies are not for the client until ReadyForQuery
 	skipping bool // until Sync, after an error
 	erred    bool // the current request or batch had an error
-	commits  bool // the current batch contains COMMIT
+	splits   bool // what follows in the batch must wait; see split
 	begins   bool // the current request or batch contains BEGIN
 	active   bool // a request or batch has begun
 	flushed  bool // bytes of the current request or batch were sent
--- a/internal/front/simple.go
+++ b/internal/front/simple.go
@@ -56,7 +56,7 @@
 // prepareDeallocated prepares the statements that a text deallocates by name
 // and that are not on the loan's connection.
 func (s *session) prepareDeallocated(statements []statement.Statement) error {
-	sent := false
+	var sent []*definition
 	for _, one := range statements {
 		if one.Kind != statement.Deallocate || one.Name == "" {
 			continue
@@ -66,15 +66,20 @@
 			continue
 		}
 		s.loan.frontend.Send(d.message())
-		s.loan.state.parsed[one.Name] = d
-		sent = true
+		sent = append(sent, d)
 	}
-	if !sent {
+	if len(sent) == 0 {
 		return nil
 	}
 	s.loan.frontend.Send(&pgproto3.Sync{})
-	_, _, err := s.exchange()
-	return err
+	failure, _, err := s.exchange()
+	if err != nil || failure != nil {
+		return err // an open transaction has failed; the query will tell
+	}
+	for _, d := range sent {
+		s.loan.state.parsed[d.name] = d
+	}
+	return nil
 }
 
 // failQuery answers a Query for which nothing was sent.
