--- a/internal/front/shutdown.go
+++ b/internal/front/shutdown.go
@@ -6,6 +6,11 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
+// forcedEnd limits the wait for sessions after their connections were broken. A
+// session that is still there is a fault, which must not keep the host from
+// stopping.
+const forcedEnd = 15 * time.Second
+
 // count returns the number of sessions.
 func (s *Server) count() int {
 	s.mu.Lock()
@@ -14,7 +19,8 @@
 }
 
 // shutdown ends sessions at their transaction boundaries, and all that remain
-// after the grace period. It returns when every connection is closed.
+// after the grace period. It returns when every connection is closed, or a
+// while after all were broken.
 func (s *Server) shutdown() {
 	s.mu.Lock()
 	s.draining = true
@@ -42,7 +48,14 @@
 		s.Logger.Warn().Uint32("process", session.process).Msg("transaction broken by shutdown")
 		session.end(refusal, true)
 	}
-	<-done
+	forced := time.NewTimer(forcedEnd)
+	defer forced.Stop()
+	select {
+	case <-done:
+	case <-forced.C:
+		s.metrics.violations.Inc(1)
+		s.Logger.Error().Int("sessions", s.count()).Msg("invariant violated: sessions that were broken have not ended")
+	}
 }
 
 // Recheck ends every session whose key is withdrawn or deleted, or whose route
