--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -14,8 +14,10 @@
 	// reportInterval is the longest time between two status objects of a host.
 	reportInterval = time.Minute
 	// reportRetry is the time until a status that was not written is written
-	// again.
-	reportRetry = time.Second
+	// again. It doubles up to reportRetryLimit, so that the hosts do not all
+	// write in the second in which the platform comes back.
+	reportRetry      = time.Second
+	reportRetryLimit = 30 * time.Second
 	// farewellTimeout limits the writing of the last status.
 	farewellTimeout = time.Second
 )
@@ -41,11 +43,15 @@
 }
 
 func (r *reporter) run(ctx context.Context) {
+	retry := reportRetry
 	for ctx.Err() == nil {
 		interval := reportInterval
 		if err := r.report(ctx); err != nil {
 			r.host.log.Warn().Err(err).Msg("status not written to the platform")
-			interval = reportRetry
+			interval = retry
+			retry = min(2*retry, reportRetryLimit)
+		} else {
+			retry = reportRetry
 		}
 		timer := time.NewTimer(interval)
 		select {
--- a/internal/emulator/instance/settings.go
+++ b/internal/emulator/instance/settings.go
@@ -215,8 +215,12 @@
 	}
 	text := s.value(name)
 	_, known := s.settings.session[name]
-	if system, ok := s.engine.System(name); ok && !known {
-		return system, true
+	// Only names with a dot are kept by ALTER SYSTEM; the others are reported
+	// after each statement and must not take the engine's lock.
+	if !known && strings.Contains(name, ".") {
+		if system, ok := s.engine.System(name); ok {
+			return system, true
+		}
 	}
 	return text, known || text != ""
 }
