Hand over before a stop, decrease shares before increasing, end writes on a replaced primary

A planned stop freed the account's slots at its start and closed the pool while other fronts still used its loans; now the pool drains first and the slots go last. The check of an idle connection no longer takes the socket's read lock, on which a Lend could block.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -172,11 +172,11 @@
 	if group == nil {
 		return 0
 	}
-	pooled, width := h.placement.Pooled(group)
-	if !pooled {
-		return 0
+	target := 0
+	if pooled, width := h.placement.Pooled(group); pooled {
+		target = group.Connections/width - 1
 	}
-	return group.Connections/width - 1
+	return h.shares.Use(h.clock.Now(), id, target)
 }
 
 // observed hands an observation to the promotion module and tells the pool how
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -40,6 +40,8 @@
 	controlTick = 100 * time.Millisecond
 	// promotionTick is shorter, since a failover waits for several of them.
 	promotionTick = 20 * time.Millisecond
+	// handOverTime is longer than a grant of the limits lasts.
+	handOverTime = 2 * time.Second
 )
 
 // Host is one entry host.
@@ -56,6 +58,7 @@
 	members       *member.Table
 	promotion     *promotion.Machine
 	limits        *limit.Table
+	shares        Shares
 	placement     *placement.Table
 	supervisor    *supervisor.Supervisor
 	pool          *pool.Pool
@@ -130,7 +133,6 @@
 	}
 	h.driver.Add(h.limits, controlTick)
 	h.placement = placement.NewTable(h.self.ID, h.self.Zone)
-	h.placement.SetHosts([]proxy.HostState{h.self})
 	h.supervisor = &supervisor.Supervisor{
 		Catalog: h.configuration, Stage: h.settings.Stage, Clock: h.clock,
 		User: h.settings.Instances.User, Password: password, Pooled: h.pooled, Observed: h.observed,
@@ -258,6 +260,7 @@
 	defer stopped()
 	err = h.front.Run(ctx, clients)
 	h.log.Info().Msg("host stopping")
+	h.handOver()
 	h.farewell()
 	stopInside()
 	running.Wait()
@@ -282,7 +285,19 @@
 	h.stopping.Store(true)
 	h.reporter.wake()
 	h.driver.Post(member.Leave{})
+}
+
+// handOver ends what other hosts use of this one after its own clients are gone:
+// loans for other fronts come back, and the slots of the limits are freed once
+// the grants to other hosts have ended.
+func (h *Host) handOver() {
 	h.driver.Post(limit.Leave{})
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
+	defer cancel()
+	if left := h.pool.Drain(ctx); left > 0 {
+		h.log.Warn().Int("loans", left).Msg("loans to other hosts broken by shutdown")
+	}
+	pause(ctx, handOverTime)
 }
 
 func (h *Host) logError(part string, err error) {
--- a/internal/inner/forwarder.go
+++ b/internal/inner/forwarder.go
@@ -10,6 +10,9 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 )
 
+// roundInterval is the time between two rounds over the pool hosts.
+const roundInterval = 50 * time.Millisecond
+
 // defaultSuspicion is the default of Forwarder.Suspicion.
 const defaultSuspicion = time.Second
 
@@ -33,10 +36,11 @@
 	suspects map[string]proxy.Instant
 }
 
-// Lend implements proxy.Lender.
+// Lend implements proxy.Lender. When no pool host can serve the group now, which
+// passes after a start or while pool hosts change, it asks them again until the
+// patience ends.
 func (f *Forwarder) Lend(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
-	group := f.group(ask.Group)
-	if group == nil {
+	if f.group(ask.Group) == nil {
 		return nil, proxy.Refuse(proxy.CannotConnectNow, "group %s is not in the document in force", ask.Group)
 	}
 	if ask.Patience > 0 {
@@ -44,6 +48,32 @@
 		ctx, cancel = context.WithTimeout(ctx, ask.Patience)
 		defer cancel()
 	}
+	for {
+		loan, err := f.lendOnce(ctx, ask)
+		if err == nil || ask.Patience <= 0 || !elsewhere(err) || !pause(ctx) {
+			return loan, err
+		}
+	}
+}
+
+// pause waits between two rounds and reports whether ctx is still in force.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(roundInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// lendOnce asks each pool host once.
+func (f *Forwarder) lendOnce(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
+	group := f.group(ask.Group)
+	if group == nil {
+		return nil, proxy.Refuse(proxy.CannotConnectNow, "group %s is not in the document in force", ask.Group)
+	}
 	var err error
 	for _, host := range f.order(group) {
 		loan, lendErr := f.lendFrom(ctx, &host, ask)
--- a/internal/pool/document.go
+++ b/internal/pool/document.go
@@ -28,6 +28,7 @@
 			p.drop(i)
 		}
 		p.expire(i)
+		p.breakReplaced(i)
 	}
 	p.changes.announce()
 }
--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -31,6 +31,8 @@
 	open    int
 	dialing int
 	lent    int
+	// writers holds the connections of write loans with the loans' terms.
+	writers map[*connection]proxy.Term
 	// watched reports that the monitor has a connection of its own.
 	watched bool
 	// leaving instances get no new loan.
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -30,6 +30,9 @@
 	default:
 		return nil, proxy.Refuse(proxy.CannotConnectNow, "the pool has not started")
 	}
+	if p.draining.Load() {
+		return nil, errDraining
+	}
 	if p.Share(ask.Group) <= 0 {
 		return nil, proxy.Refuse(proxy.CannotConnectNow, "this host does not pool group %s", ask.Group)
 	}
@@ -161,6 +164,7 @@
 		writes := ask.Access == proxy.Write
 		if writes {
 			p.addWriter(i.group, 1)
+			i.addWriter(c, lent.Term)
 		}
 		// The count is raised before the check, so that a planned change of
 		// primary either sees this loan or makes it wait.
@@ -272,6 +276,7 @@
 		return
 	}
 	c.lent = false
+	delete(i.writers, c)
 	c.used = now
 	i.lent--
 	kept := i.keep(c, usable)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -96,6 +97,8 @@
 	mu        sync.Mutex
 	instances map[key]*instance
 	stopped   bool
+
+	draining atomic.Bool
 }
 
 // key identifies an instance over all groups.
--- a/internal/pool/untouched.go
+++ b/internal/pool/untouched.go
@@ -26,10 +26,8 @@
 		return fmt.Errorf("inspect the connection: %w", err)
 	}
 	var found error
-	err = raw.Read(func(fd uintptr) bool {
-		found = peek(int(fd))
-		return true
-	})
+	// Control, unlike Read, does not wait for a reader of the connection.
+	err = raw.Control(func(fd uintptr) { found = peek(int(fd)) })
 	if err != nil {
 		return fmt.Errorf("inspect the connection: %w", err)
 	}
