--- a/internal/capacity/front.go
+++ b/internal/capacity/front.go
@@ -29,24 +29,24 @@
 	}}
 }
 
-// nothing refuses loans and admits all; idle clients need neither.
-type nothing struct{}
+// idleBackend refuses loans and admits all; idle clients need neither.
+type idleBackend struct{}
 
-func (nothing) Lend(context.Context, proxy.Ask) (proxy.Loan, error) {
+func (idleBackend) Lend(context.Context, proxy.Ask) (proxy.Loan, error) {
 	return nil, proxy.Refuse(proxy.TooManyConnections, "no instance")
 }
 
-func (nothing) Admit(proxy.Instant, proxy.AccountID) error { return nil }
+func (idleBackend) Admit(proxy.Instant, proxy.AccountID) error { return nil }
 
-func (nothing) Minimum(proxy.Instant, proxy.GroupID, proxy.AccountID, string) proxy.Bookmark {
+func (idleBackend) Minimum(proxy.Instant, proxy.GroupID, proxy.AccountID, string) proxy.Bookmark {
 	return proxy.Bookmark{}
 }
 
-func (nothing) Committed(proxy.Instant, proxy.GroupID, proxy.AccountID, string, proxy.Bookmark) {}
+func (idleBackend) Committed(proxy.Instant, proxy.GroupID, proxy.AccountID, string, proxy.Bookmark) {}
 
-type wall struct{ start time.Time }
+type realClock struct{ start time.Time }
 
-func (w wall) Now() proxy.Instant { return proxy.Instant(time.Since(w.start)) }
+func (w realClock) Now() proxy.Instant { return proxy.Instant(time.Since(w.start)) }
 
 // Front measures the memory of idle client connections, without and with TLS.
 func Front() ([]Slope, error) {
@@ -71,7 +71,7 @@
 // of the growth is the front's.
 func idleClients(n int, secure bool) (float64, error) {
 	server := &front.Server{
-		Catalog: newCatalog(), Limiter: nothing{}, Lender: nothing{}, Positions: nothing{}, Clock: wall{time.Now()},
+		Catalog: newCatalog(), Limiter: idleBackend{}, Lender: idleBackend{}, Positions: idleBackend{}, Clock: realClock{time.Now()},
 		PlainOpen: true, Logger: zerolog.Nop(),
 		Limits: front.Limits{Sessions: 2 * n, Grace: time.Millisecond, Authentication: time.Minute},
 	}
--- a/internal/capacity/supervisor.go
+++ b/internal/capacity/supervisor.go
@@ -59,7 +59,7 @@
 	ended := make(chan struct{})
 	watch := &supervisor.Supervisor{
 		Catalog: catalog{&proxy.Document{Environment: "capacity", Groups: []proxy.Group{group}}},
-		Stage:   proxy.Production, Clock: wall{time.Now()}, User: "system",
+		Stage:   proxy.Production, Clock: realClock{time.Now()}, User: "system",
 		Pooled: func(proxy.GroupID) bool { return true }, Observed: func(promotion.Observed) {}, Logger: zerolog.Nop(),
 	}
 	go func() {
--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -35,14 +35,14 @@
 	Log zerolog.Logger
 
 	once    sync.Once
-	modules []tended
+	modules []scheduled
 	tasks   chan task
 	mu      sync.Mutex
 	watches map[proxy.Key]context.CancelFunc
 	running sync.WaitGroup
 }
 
-type tended struct {
+type scheduled struct {
 	module   proxy.Module
 	interval time.Duration
 }
@@ -62,7 +62,7 @@
 // Add registers a module that gets a tick at each interval. It is called before
 // Run.
 func (d *Driver) Add(module proxy.Module, interval time.Duration) {
-	d.modules = append(d.modules, tended{module: module, interval: interval})
+	d.modules = append(d.modules, scheduled{module: module, interval: interval})
 }
 
 // Run drives the modules until ctx ends.
@@ -128,7 +128,7 @@
 	return gathered
 }
 
-func (d *Driver) tick(ctx context.Context, t tended) {
+func (d *Driver) tick(ctx context.Context, t scheduled) {
 	defer d.running.Done()
 	ticker := time.NewTicker(t.interval)
 	defer ticker.Stop()
@@ -153,14 +153,14 @@
 	for {
 		select {
 		case t := <-d.tasks:
-			d.carry(ctx, t)
+			d.execute(ctx, t)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (d *Driver) carry(ctx context.Context, t task) {
+func (d *Driver) execute(ctx context.Context, t task) {
 	sent := d.Clock.Now()
 	switch e := t.effect.(type) {
 	case proxy.Fetch:
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -94,7 +94,7 @@
 }
 
 // newIncarnation draws an incarnation: milliseconds since 1970 above 20 random
-// bits, so that later lives have larger numbers.
+// bits, so that later incarnations have larger numbers.
 func newIncarnation(now time.Time) proxy.Incarnation {
 	var random [4]byte
 	_, _ = crand.Read(random[:])
@@ -149,7 +149,7 @@
 		return err
 	}
 	h.front = &front.Server{
-		Catalog: gate{h}, Limiter: Patience{Limiter: h.limits, Clock: h.clock}, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
+		Catalog: servingCatalog{h}, Limiter: RetryingLimiter{Limiter: h.limits, Clock: h.clock}, Lender: h.forwarder(), Positions: &session.Table{}, Clock: h.clock,
 		Host: hostNumber(h.self.ID), Canceler: canceler{h}, Secret: sharedSecret(password),
 		PlainOpen: h.settings.Clients.Plain, Logger: h.log, Registry: h.registry,
 		Limits: front.Limits{
@@ -261,7 +261,7 @@
 	err = h.front.Run(ctx, clients)
 	h.log.Info().Msg("host stopping")
 	h.handOver()
-	h.farewell()
+	h.reportLeaving()
 	stopInside()
 	running.Wait()
 	return err
--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -18,8 +18,8 @@
 	// write in the second in which the platform comes back.
 	reportRetry      = time.Second
 	reportRetryLimit = 30 * time.Second
-	// farewellTimeout limits the writing of the last status.
-	farewellTimeout = time.Second
+	// lastReportTimeout limits the writing of the last status.
+	lastReportTimeout = time.Second
 )
 
 // reporter writes the host's status object when the revision in force changes,
@@ -63,7 +63,7 @@
 	}
 }
 
-// report writes the status. A conflict is with an earlier life of this host or
+// report writes the status. A conflict is with an earlier incarnation of this host or
 // with a write of its own whose answer was lost, so it is overwritten.
 func (r *reporter) report(ctx context.Context) error {
 	h := r.host
@@ -94,10 +94,10 @@
 	return store.Put(ctx, key, value, current.Version)
 }
 
-// farewell writes the last status, from which operators see that the host has
+// reportLeaving writes the last status, from which operators see that the host has
 // left. It is not worth delaying the stop if the platform does not answer.
-func (h *Host) farewell() {
-	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
+func (h *Host) reportLeaving() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastReportTimeout)
 	defer cancel()
 	if err := newReporter(h).report(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("last status not written to the platform")
--- a/internal/daemon/patience_test.go
+++ b/internal/daemon/retrying_test.go
@@ -30,7 +30,7 @@
 
 // Guards against refusals of requests that a short wait would admit, and
 // against long waits of those that it would not.
-func TestPatienceWaitsOnceAndBriefly(t *testing.T) {
+func TestLimiterWaitsOnceAndBriefly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		clock := daemon.NewClock()
@@ -45,7 +45,7 @@
 		} {
 			began := clock.Now()
 			limiter := &lateLimiter{clock: clock, from: began.Add(c.wait)}
-			err := daemon.Patience{Limiter: limiter, Clock: clock}.Admit(began, "clerks")
+			err := daemon.RetryingLimiter{Limiter: limiter, Clock: clock}.Admit(began, "clerks")
 			is.Equal(err == nil, c.admitted)
 			is.Equal(clock.Now().Sub(began), c.waited)
 			is.Equal(limiter.calls, c.calls)
--- a/internal/experiment/client.go
+++ b/internal/experiment/client.go
@@ -67,7 +67,7 @@
 func (c *client) now() time.Duration { return time.Since(c.started) }
 
 func (c *client) run(ctx context.Context) {
-	defer c.hangUp()
+	defer c.disconnect()
 	for i, a := range c.arrivals {
 		select {
 		case <-time.After(a.due - c.now()):
@@ -75,7 +75,7 @@
 			return
 		}
 		if a.move || c.host == nil {
-			c.hangUp()
+			c.disconnect()
 			c.move()
 		}
 		r := record{
@@ -103,7 +103,7 @@
 	}
 }
 
-func (c *client) hangUp() {
+func (c *client) disconnect() {
 	for _, conn := range []*pgx.Conn{c.writer, c.reader} {
 		if conn != nil && !conn.IsClosed() {
 			ctx, stop := context.WithTimeout(context.Background(), time.Second)
@@ -125,7 +125,7 @@
 		return err
 	}
 	r.again = true
-	c.hangUp()
+	c.disconnect()
 	c.move()
 	return c.attempt(ctx, r)
 }
@@ -209,7 +209,7 @@
 		if errors.As(err, &refused) && refused.Code != string(proxy.AdminShutdown) || attempt == maxDials {
 			return nil, fmt.Errorf("%w: %w", errNoConnect, err)
 		}
-		c.hangUp()
+		c.disconnect()
 		c.move()
 	}
 }
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -56,7 +56,7 @@
 		for i := range sessions {
 			sessions[i].key = account.Keys[i%len(account.Keys)].ID
 		}
-		arrive(o, random, account, sessions, greedy(document) == account.ID)
+		arrive(o, random, account, sessions, excessAccount(document) == account.ID)
 		plan = append(plan, sessions...)
 	}
 	if o.Requests > 0 {
@@ -65,9 +65,9 @@
 	return plan
 }
 
-// greedy returns the account that exceeds its rate: the first with the largest
+// excessAccount returns the account that exceeds its rate: the first with the largest
 // rate.
-func greedy(document *proxy.Document) proxy.AccountID {
+func excessAccount(document *proxy.Document) proxy.AccountID {
 	return slices.MaxFunc(document.Accounts, func(a, b proxy.Account) int { return cmp.Compare(a.Rate, b.Rate) }).ID
 }
 
@@ -91,11 +91,11 @@
 }
 
 // arrive draws Poisson arrivals and gives each to a random session.
-func arrive(o Options, random *rand.Rand, account proxy.Account, sessions []plannedSession, greedy bool) {
+func arrive(o Options, random *rand.Rand, account proxy.Account, sessions []plannedSession, excessAccount bool) {
 	var at time.Duration
 	for {
 		rate := usualShare * account.Rate
-		if greedy && o.Scenario == Excess && at >= o.faultAt() {
+		if excessAccount && o.Scenario == Excess && at >= o.faultAt() {
 			rate = excessFactor * account.Rate
 		}
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -214,7 +214,7 @@
 	for _, account := range n.document.Accounts {
 		result := n.accountResult(account, records)
 		results = append(results, result)
-		if excess && account.ID == greedy(n.document) {
+		if excess && account.ID == excessAccount(n.document) {
 			// Above the rate the limiter chooses which requests to refuse, so that
 			// only their number can be judged.
 			r.add("requests answered to "+string(account.ID)+", of those that its rate and burst allow",
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -26,8 +26,8 @@
 	Cancel time.Duration
 	// Grace is how long running transactions may take after Run's context ends.
 	Grace time.Duration
-	// Farewell limits the writing of a last error message to a client.
-	Farewell time.Duration
+	// FinalWrite limits the writing of a last error message to a client.
+	FinalWrite time.Duration
 }
 
 const (
@@ -41,7 +41,7 @@
 	defaultPatience       = 10 * time.Second
 	defaultCancel         = time.Second
 	defaultGrace          = 30 * time.Second
-	defaultFarewell       = time.Second
+	defaultFinalWrite     = time.Second
 )
 
 func (l *Limits) fill() {
@@ -55,7 +55,7 @@
 	fill(&l.Patience, defaultPatience)
 	fill(&l.Cancel, defaultCancel)
 	fill(&l.Grace, defaultGrace)
-	fill(&l.Farewell, defaultFarewell)
+	fill(&l.FinalWrite, defaultFinalWrite)
 }
 
 func fill[T comparable](field *T, value T) {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -254,7 +254,7 @@
 		told.Outcome = proxy.Unknown
 	}
 	s.server.metrics.refused(&told)
-	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.Limits.Farewell))
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.Limits.FinalWrite))
 	if s.out.send(response(&told, severityFatal)) == nil {
 		_ = s.out.flush()
 	}
@@ -271,7 +271,7 @@
 	}
 	s.ending = refusal
 	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
-	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.Limits.Farewell))
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.server.Limits.FinalWrite))
 	s.mu.Unlock()
 	s.stop()
 	s.sever()
--- a/internal/front/startup.go
+++ b/internal/front/startup.go
@@ -253,7 +253,7 @@
 			return err
 		}
 		refusal = proxy.Refuse(proxy.ConnectionRejected, "authentication timed out")
-		_ = conn.SetDeadline(time.Now().Add(defaultFarewell))
+		_ = conn.SetDeadline(time.Now().Add(defaultFinalWrite))
 	}
 	message, encodeErr := response(refusal, severityFatal).Encode(nil)
 	if encodeErr != nil {
--- a/internal/inner/alive.go
+++ b/internal/inner/alive.go
@@ -37,7 +37,7 @@
 	return watchedConn{conn, l.silence}, nil
 }
 
-// alive sends signs of life on a stream.
+// alive sends keep-alive frames on a stream.
 type alive struct {
 	channel  channel
 	interval time.Duration
@@ -47,7 +47,7 @@
 	stopped bool
 }
 
-// startAlive sends a sign of life at each interval until stop. A loan shorter
+// startAlive sends a keep-alive frame at each interval until stop. A loan shorter
 // than the interval costs one timer.
 func startAlive(c channel, interval time.Duration) *alive {
 	a := &alive{channel: c, interval: interval}
--- a/internal/inner/channel.go
+++ b/internal/inner/channel.go
@@ -34,7 +34,7 @@
 	return nil
 }
 
-// receive reads the next frame that is not a sign of life.
+// receive reads the next frame that is not a keep-alive frame.
 func (c channel) receive(f *frame) error {
 	for {
 		if err := c.stream.MsgRecv(f, c.codec); err != nil {
--- a/internal/inner/client.go
+++ b/internal/inner/client.go
@@ -36,9 +36,9 @@
 	TLS *tls.Config
 	// DialTimeout limits the opening of a peer connection.
 	DialTimeout time.Duration
-	// Alive is the interval of the signs of life, the same on all hosts.
-	Alive  time.Duration
-	Logger zerolog.Logger
+	// KeepAlive is the interval of the keep-alive frames, the same on all hosts.
+	KeepAlive time.Duration
+	Logger    zerolog.Logger
 	// Metrics may be nil.
 	Metrics metrics.Registry
 
@@ -77,7 +77,7 @@
 	}
 }
 
-// Run checks the free connections at the interval Alive until ctx ends and then
+// Run checks the free connections at the interval KeepAlive until ctx ends and then
 // closes them.
 func (c *Client) Run(ctx context.Context) {
 	ticker := time.NewTicker(c.alive())
@@ -102,10 +102,10 @@
 }
 
 func (c *Client) alive() time.Duration {
-	if c.Alive <= 0 {
+	if c.KeepAlive <= 0 {
 		return defaultAlive
 	}
-	return c.Alive
+	return c.KeepAlive
 }
 
 // check pings the free connections that were unused since the last check and
--- a/internal/inner/frame.go
+++ b/internal/inner/frame.go
@@ -70,7 +70,7 @@
 type opening struct {
 	Ask proxy.Ask `cbor:"1,keyasint"`
 	// Client is a random number that the client drew at its start. It tells the
-	// sessions of different fronts and of a front's earlier lives apart.
+	// sessions of different fronts and of a front's earlier incarnations apart.
 	Client uint64 `cbor:"2,keyasint"`
 }
 
--- a/internal/inner/host_test.go
+++ b/internal/inner/host_test.go
@@ -84,7 +84,7 @@
 	}
 	h.address = listener.Addr().String()
 	s := &inner.Server{
-		Lender: h.pool, Codec: h.codec, Registry: h.registry, TLS: server, Alive: alive, Validity: time.Minute,
+		Lender: h.pool, Codec: h.codec, Registry: h.registry, TLS: server, KeepAlive: alive, Validity: time.Minute,
 		Deliver: func(r proxy.Received) { h.delivered <- r },
 	}
 	run(t, func(ctx context.Context) { _ = s.Run(ctx, listener) })
@@ -102,7 +102,7 @@
 
 func (h *host) client(t testing.TB, nonce uint64) *inner.Client {
 	t.Helper()
-	c := &inner.Client{Codec: h.codec, Registry: h.registry, Clock: wall{time.Now()}, Nonce: nonce, TLS: h.clientTLS, Alive: alive}
+	c := &inner.Client{Codec: h.codec, Registry: h.registry, Clock: wall{time.Now()}, Nonce: nonce, TLS: h.clientTLS, KeepAlive: alive}
 	run(t, c.Run)
 	return c
 }
--- a/internal/inner/server.go
+++ b/internal/inner/server.go
@@ -19,7 +19,7 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// defaultAlive is the default interval of the signs of life.
+// defaultAlive is the default interval of the keep-alive frames.
 const defaultAlive = time.Second
 
 // defaultValidity is the default validity of a confirmation.
@@ -41,8 +41,8 @@
 	Deliver  func(proxy.Received)
 	// TLS authenticates the peers; nil serves without TLS.
 	TLS *tls.Config
-	// Alive is the interval of the signs of life, the same on all hosts.
-	Alive time.Duration
+	// KeepAlive is the interval of the keep-alive frames, the same on all hosts.
+	KeepAlive time.Duration
 	// Validity is how long a confirmation holds, counted by the front from
 	// before its request. It covers a round trip between zones and the time to
 	// write the client's answer.
@@ -55,8 +55,8 @@
 
 // Run serves connections of the listener until ctx ends.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
-	if s.Alive <= 0 {
-		s.Alive = defaultAlive
+	if s.KeepAlive <= 0 {
+		s.KeepAlive = defaultAlive
 	}
 	if s.Validity <= 0 {
 		s.Validity = defaultValidity
@@ -69,7 +69,7 @@
 	if err := mux.Register(s, service{s.Codec}); err != nil {
 		return fmt.Errorf("register the rpcs: %w", err)
 	}
-	listener = watchedListener{listener, silences * s.Alive}
+	listener = watchedListener{listener, silences * s.KeepAlive}
 	if s.TLS != nil {
 		listener = tls.NewListener(listener, s.TLS)
 	}
@@ -98,7 +98,7 @@
 	if err := s.Codec.Unmarshal(f.payload, &o); err != nil {
 		return c.refuse(proxy.Refuse(proxy.ProtocolViolation, "%v", err))
 	}
-	signs := startAlive(c, s.Alive)
+	signs := startAlive(c, s.KeepAlive)
 	defer signs.stop()
 	loan, err := s.Lender.Lend(stream.Context(), o.qualified())
 	if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,8 +21,8 @@
 
 var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 
-// desk is an operator with a file and a platform in memory.
-type desk struct {
+// fixture is an operator with a file and a platform in memory.
+type fixture struct {
 	*testing.T
 	store  *platform.Memory
 	file   string
@@ -35,8 +35,8 @@
 	wake func()
 }
 
-func newDesk(t *testing.T) *desk {
-	d := &desk{T: t, store: platform.NewMemory(), file: filepath.Join(t.TempDir(), "loom.yaml"), wake: func() {}}
+func newFixture(t *testing.T) *fixture {
+	d := &fixture{T: t, store: platform.NewMemory(), file: filepath.Join(t.TempDir(), "loom.yaml"), wake: func() {}}
 	text, err := os.ReadFile("../../examples/loom-ledger.yaml")
 	if err != nil {
 		t.Fatal(err)
@@ -57,7 +57,7 @@
 	return d
 }
 
-func (d *desk) read() string {
+func (d *fixture) read() string {
 	text, err := os.ReadFile(d.file)
 	if err != nil {
 		d.Fatal(err)
@@ -65,14 +65,14 @@
 	return string(text)
 }
 
-func (d *desk) write(text string) {
+func (d *fixture) write(text string) {
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		d.Fatal(err)
 	}
 }
 
 // run runs a command and returns its results.
-func (d *desk) run(code int, args ...string) string {
+func (d *fixture) run(code int, args ...string) string {
 	d.Helper()
 	d.output.Reset()
 	all := append([]string{"--platform", "http://127.0.0.1:1", "--author", "selam"}, args...)
@@ -83,7 +83,7 @@
 }
 
 // host lists a host and lets it report a revision unless that is nil.
-func (d *desk) host(id proxy.HostID, stage proxy.Stage, e *environment.Envelope) {
+func (d *fixture) host(id proxy.HostID, stage proxy.Stage, e *environment.Envelope) {
 	state := proxy.HostState{ID: id, Zone: "gondar", Address: "127.0.0.1:7000", Incarnation: 7}
 	listed, err := json.Marshal(state)
 	if err != nil {
@@ -103,14 +103,14 @@
 	d.put(environment.StatusKey("loom-ledger", stage, id), value)
 }
 
-func (d *desk) put(key proxy.Key, value []byte) {
+func (d *fixture) put(key proxy.Key, value []byte) {
 	object, _ := d.store.Get(context.Background(), key)
 	if _, err := d.store.Put(context.Background(), key, value, object.Version); err != nil {
 		d.Fatal(err)
 	}
 }
 
-func (d *desk) envelope(stage proxy.Stage) *environment.Envelope {
+func (d *fixture) envelope(stage proxy.Stage) *environment.Envelope {
 	e, _, err := environment.Load(context.Background(), d.store, "loom-ledger", stage)
 	if err != nil || e == nil {
 		d.Fatal(e, err)
@@ -122,7 +122,7 @@
 // that do not wait for the hosts, and exit codes that scripts cannot use.
 func TestTryAndPromote(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.host("a", proxy.Trial, nil)
 	d.run(operator.ExitDone, "check", d.file)
 	d.run(operator.ExitFailed, "promote", d.file)
@@ -147,7 +147,7 @@
 // not seen.
 func TestConflict(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	d.run(operator.ExitDone, "try", d.file, "--wait", "0s", "--from", "0")
 	d.write(strings.Replace(d.read(), "rate: 60", "rate: 70", 1))
 	var failure struct {
@@ -170,7 +170,7 @@
 // the document.
 func TestKeys(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	key := strings.TrimSpace(d.run(operator.ExitDone, "key", "create", d.file, "--account", "reports", "--id", "reports-2"))
 	is.True(strings.HasPrefix(key, proxy.KeyPrefix))
 	is.True(!strings.Contains(d.read(), key))
@@ -201,7 +201,7 @@
 // Guards against wrong usage that is reported as a refusal or does something.
 func TestUsage(t *testing.T) {
 	is := is.New(t)
-	d := newDesk(t)
+	d := newFixture(t)
 	for _, args := range [][]string{
 		{},
 		{"unknown"},
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -13,8 +13,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// bench is a pool with one scripted instance.
-type bench struct {
+// fixture is a pool with one scripted instance.
+type fixture struct {
 	pool     *pool.Pool
 	instance *scripted
 	leaders  *leaders
@@ -22,9 +22,9 @@
 	clock    *manual
 }
 
-func startBench(t testing.TB, share, slots int) *bench {
+func startBench(t testing.TB, share, slots int) *fixture {
 	t.Helper()
-	b := &bench{instance: startScripted(t), leaders: &leaders{}, catalog: &catalog{}, clock: &manual{now: 1}}
+	b := &fixture{instance: startScripted(t), leaders: &leaders{}, catalog: &catalog{}, clock: &manual{now: 1}}
 	b.leaders.set(proxy.Leadership{Term: 1, Primary: "one"})
 	b.catalog.set(b.document(false, slots))
 	b.pool = &pool.Pool{
@@ -36,7 +36,7 @@
 	return b
 }
 
-func (b *bench) document(leaving bool, slots int) *proxy.Document {
+func (b *fixture) document(leaving bool, slots int) *proxy.Document {
 	instance := proxy.Instance{ID: "one", Zone: "a", Address: b.instance.address(), Primary: true, Leaving: leaving}
 	return &proxy.Document{Groups: []proxy.Group{{ID: "orders", Instances: []proxy.Instance{instance}, Slots: slots, Database: "orders"}}}
 }
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -38,8 +38,8 @@
 	settleTimeout = time.Second
 )
 
-// obey carries out the orders that wait.
-func (w *watch) obey(ctx context.Context) {
+// runOrders carries out the orders that wait.
+func (w *watch) runOrders(ctx context.Context) {
 	for {
 		select {
 		case order := <-w.orders:
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -1,6 +1,6 @@
 // Package supervisor observes the instances of the database groups that this
 // host pools, and carries out the orders of package promotion on them. All that
-// it says to an instance are statements of PostgreSQL.
+// it sends to an instance are statements of PostgreSQL.
 package supervisor
 
 import (
--- a/internal/supervisor/watch.go
+++ b/internal/supervisor/watch.go
@@ -52,7 +52,7 @@
 	ticker := time.NewTicker(w.supervisor.Interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		w.obey(ctx)
+		w.runOrders(ctx)
 		w.supervisor.report(w.observe(ctx))
 		select {
 		case <-ticker.C:
--- a/pkg/proxy/configuration/exchange.go
+++ b/pkg/proxy/configuration/exchange.go
@@ -49,12 +49,12 @@
 }
 
 // receive handles the messages of peers.
-func (t *Table) receive(now proxy.Instant, e proxy.Received) []proxy.Effect {
+func (t *Table) receive(now proxy.Instant, e proxy.Received, found decoded) []proxy.Effect {
 	switch m := e.Message.(type) {
 	case *Poll:
 		return t.answer(now, e.From, m)
 	case *Report:
-		return t.learn(now, e.From, m)
+		return t.learn(now, e.From, m, found)
 	}
 	return nil
 }
@@ -74,7 +74,7 @@
 	return effects
 }
 
-func (t *Table) learn(now proxy.Instant, from proxy.HostID, r *Report) []proxy.Effect {
+func (t *Table) learn(now proxy.Instant, from proxy.HostID, r *Report, found decoded) []proxy.Effect {
 	sent, asked := t.polls[r.Nonce]
 	if asked {
 		delete(t.polls, r.Nonce)
@@ -85,7 +85,7 @@
 		}
 	}
 	if len(r.Data) > 0 {
-		return t.take(r.Data, now)
+		return t.adopt(now, found)
 	}
 	if r.Revision > t.current.Revision {
 		return []proxy.Effect{t.poll(now, from, uint64(now))}
--- a/pkg/proxy/configuration/table.go
+++ b/pkg/proxy/configuration/table.go
@@ -5,6 +5,7 @@
 package configuration
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -72,8 +73,8 @@
 	// confirmed the newest revision to this host or, through peers, to another.
 	reached   proxy.Instant
 	everSeen  bool
-	fetched   proxy.Instant
-	polled    proxy.Instant
+	fetchedAt proxy.Instant
+	polledAt  proxy.Instant
 	polls     map[uint64]proxy.Instant
 	lastNonce uint64
 }
@@ -92,6 +93,7 @@
 
 // Handle implements proxy.Module.
 func (t *Table) Handle(now proxy.Instant, event proxy.Event) []proxy.Effect {
+	found := t.decode(event)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.setDefaults()
@@ -99,11 +101,50 @@
 	case proxy.Tick:
 		return t.tick(now, e.Random)
 	case Peers:
-		return t.setPeers(e)
+		t.live, t.known = e.Live, e.Known
 	case proxy.Fetched:
-		return t.fetch(now, e)
+		return t.fetched(now, e, found)
 	case proxy.Received:
-		return t.receive(now, e)
+		return t.receive(now, e, found)
+	}
+	return nil
+}
+
+// decoded is the document that an event carries. The zero value stands for none
+// that differs from the one in force.
+type decoded struct {
+	loaded Loaded
+	err    error
+}
+
+// decode decodes the document that an event carries. Decoding a large document
+// takes hundreds of milliseconds, so it is done without the lock, which the
+// request path needs, and not at all for the revision in force.
+func (t *Table) decode(event proxy.Event) decoded {
+	data := t.dataOf(event)
+	if len(data) == 0 {
+		return decoded{}
+	}
+	t.mu.RLock()
+	same := bytes.Equal(data, t.current.Data)
+	t.mu.RUnlock()
+	if same {
+		return decoded{}
+	}
+	loaded, err := t.Decode(data)
+	return decoded{loaded: loaded, err: err}
+}
+
+func (t *Table) dataOf(event proxy.Event) []byte {
+	switch e := event.(type) {
+	case proxy.Fetched:
+		if e.Err == nil && e.Object.Key == t.Key {
+			return e.Object.Value
+		}
+	case proxy.Received:
+		if report, ok := e.Message.(*Report); ok {
+			return report.Data
+		}
 	}
 	return nil
 }
@@ -131,12 +172,12 @@
 		t.watching = !t.watching
 		effects = append(effects, proxy.Watch{Prefix: t.Key, Stop: !t.watching})
 	}
-	if (t.watching || t.current.Document == nil) && t.due(now, t.fetched, refetch) {
-		t.fetched = now
+	if (t.watching || t.current.Document == nil) && due(now, t.fetchedAt, refetch) {
+		t.fetchedAt = now
 		effects = append(effects, proxy.Fetch{Key: t.Key})
 	}
-	if len(t.live) > 0 && t.due(now, t.polled, t.Interval) {
-		t.polled = now
+	if len(t.live) > 0 && due(now, t.polledAt, t.Interval) {
+		t.polledAt = now
 		peer := t.live[random%uint64(len(t.live))]
 		effects = append(effects, t.poll(now, peer.ID, random))
 	}
@@ -145,7 +186,7 @@
 }
 
 // due reports whether interval has passed since last; zero means never.
-func (t *Table) due(now, last proxy.Instant, interval time.Duration) bool {
+func due(now, last proxy.Instant, interval time.Duration) bool {
 	return last == 0 || now.Sub(last) >= interval
 }
 
@@ -167,19 +208,13 @@
 	}
 }
 
-func (t *Table) setPeers(e Peers) []proxy.Effect {
-	t.live = e.Live
-	t.known = e.Known
-	return nil
-}
-
-// fetch takes the platform's answer.
-func (t *Table) fetch(_ proxy.Instant, e proxy.Fetched) []proxy.Effect {
+// fetched takes the platform's answer.
+func (t *Table) fetched(now proxy.Instant, e proxy.Fetched, found decoded) []proxy.Effect {
 	if e.Err != nil || e.Object.Key != t.Key {
 		return nil
 	}
 	t.reach(e.Sent)
-	return t.take(e.Object.Value, e.Sent)
+	return t.adopt(now, found)
 }
 
 // reach records that the platform was reached at an instant.
@@ -190,30 +225,29 @@
 	}
 }
 
-// take puts the encoded revision into force if it is newer.
-func (t *Table) take(data []byte, random proxy.Instant) []proxy.Effect {
-	loaded, err := t.Decode(data)
-	if err != nil {
-		return []proxy.Effect{Reject{Err: err}}
+// adopt puts a decoded revision into force if it is newer, and tells a few peers.
+func (t *Table) adopt(now proxy.Instant, found decoded) []proxy.Effect {
+	if found.err != nil {
+		return []proxy.Effect{Reject{Err: found.err}}
 	}
-	if loaded.Revision <= t.current.Revision {
+	if found.loaded.Revision <= t.current.Revision {
 		return nil
 	}
-	t.current = loaded
-	effects := []proxy.Effect{Apply{Loaded: loaded}}
-	for _, peer := range t.sample(uint64(random), t.Fanout) {
-		effects = append(effects, proxy.Send{To: peer, Message: &Report{Revision: loaded.Revision}})
+	t.current = found.loaded
+	effects := []proxy.Effect{Apply{Loaded: found.loaded}}
+	for _, peer := range t.sample(uint64(now), t.Fanout) {
+		effects = append(effects, proxy.Send{To: peer, Message: &Report{Revision: found.loaded.Revision}})
 	}
 	return effects
 }
 
-// sample returns up to n different live peers, starting at a random one.
-func (t *Table) sample(random uint64, n int) []proxy.HostID {
+// sample returns up to n different live peers, starting at an arbitrary one.
+func (t *Table) sample(start uint64, n int) []proxy.HostID {
 	n = min(n, len(t.live))
 	peers := make([]proxy.HostID, 0, n)
 	for i := range n {
 		// A stride spreads the choice over the ordered list of hosts.
-		index := (random + uint64(i)*uint64(max(1, len(t.live)/n))) % uint64(len(t.live))
+		index := (start + uint64(i)*uint64(max(1, len(t.live)/n))) % uint64(len(t.live))
 		peers = append(peers, t.live[index].ID)
 	}
 	return peers
--- a/pkg/proxy/configuration/table_test.go
+++ b/pkg/proxy/configuration/table_test.go
@@ -207,3 +207,25 @@
 	is.NoErr(f.tables[0].Serving(f.now))
 	is.True(f.tables[4].Serving(f.now) != nil)
 }
+
+// Guards against decoding the document at each read of the platform: a large
+// one takes half a second of a core.
+func TestRevisionInForceIsNotDecodedAgain(t *testing.T) {
+	is := is.New(t)
+	decodings := 0
+	table := &configuration.Table{Key: key, Decode: func(data []byte) (configuration.Loaded, error) {
+		decodings++
+		return decode(data)
+	}}
+	fetched := func(revision string) proxy.Fetched {
+		return proxy.Fetched{Object: proxy.Object{Key: key, Value: []byte(revision)}, Sent: 1}
+	}
+	for range 5 {
+		table.Handle(1, fetched("7"))
+	}
+	is.Equal(decodings, 1)
+	table.Handle(1, fetched("8"))
+	is.Equal(decodings, 2)
+	_, revision := table.Current()
+	is.Equal(revision, proxy.Revision(8))
+}
--- a/pkg/proxy/limit/cede.go
+++ b/pkg/proxy/limit/cede.go
@@ -111,7 +111,7 @@
 	short := int64(1.05*b.demand.rate*float64(unit)) > b.used.rate && b.demand.active()
 	if b.round != 0 && now/proxy.Instant(round) == b.round/proxy.Instant(round) {
 		grown := b.asked.rate + b.asked.rate/2 + b.whole.rate/8
-		return short && now.Sub(b.round) >= growAgain && b.demand.need(b.whole).rate > grown
+		return short && now.Sub(b.round) >= roundInterval && b.demand.need(b.whole).rate > grown
 	}
 	return short || b.got != part{}
 }
--- a/pkg/proxy/limit/exchange.go
+++ b/pkg/proxy/limit/exchange.go
@@ -66,7 +66,7 @@
 	begged := int(random % uint64(max(1, len(givers))))
 	for i, giver := range givers {
 		chosen := begging && i == begged
-		if p, waiting := t.pending[giver]; waiting && now.Sub(p.sent) < askAgain || !joins && !chosen {
+		if p, waiting := t.pending[giver]; waiting && now.Sub(p.sent) < requestTimeout || !joins && !chosen {
 			continue
 		}
 		w := b.want(now, giver, &lack, b.whole.rate/int64(len(givers)+1))
--- a/pkg/proxy/limit/table.go
+++ b/pkg/proxy/limit/table.go
@@ -36,12 +36,12 @@
 	// acceptTime is how long after its request a grant may arrive. Tokens in
 	// flight reserve burst of the giver for this time.
 	acceptTime = 150 * time.Millisecond
-	// askAgain is how long a request to a peer may remain unanswered.
-	askAgain = 600 * time.Millisecond
+	// requestTimeout is how long a request to a peer may remain unanswered.
+	requestTimeout = 600 * time.Millisecond
 	// renewBefore is the time before the end of a grant at which it is renewed.
 	renewBefore = 400 * time.Millisecond
-	// growAgain is the least time between two rounds of one account.
-	growAgain = 200 * time.Millisecond
+	// roundInterval is the least time between two rounds of one account.
+	roundInterval = 200 * time.Millisecond
 	// scarceTime is the time after which it is worth asking a host again that
 	// needs its own part.
 	scarceTime = 4 * time.Second
--- a/pkg/proxy/member/message.go
+++ b/pkg/proxy/member/message.go
@@ -6,7 +6,7 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// Update is news of one host.
+// Update is a change of one host's state.
 type Update struct {
 	State  proxy.HostState `cbor:"1,keyasint"`
 	Status Status          `cbor:"2,keyasint"`
@@ -15,7 +15,7 @@
 
 // Validate checks an update that came from another host.
 func (u *Update) Validate() error {
-	if u.Status < Alive || u.Status > Left {
+	if u.Status < Alive || u.Status > Failed {
 		return fmt.Errorf("update of %s: status %d is not defined", u.State.ID, u.Status)
 	}
 	if err := u.State.Validate(); err != nil {
@@ -24,7 +24,7 @@
 	return nil
 }
 
-// Ping asks a host for a sign of life and introduces the sender.
+// Ping asks a host to answer and introduces the sender.
 type Ping struct {
 	Nonce   uint64          `cbor:"1,keyasint"`
 	From    proxy.HostState `cbor:"2,keyasint"`
--- a/pkg/proxy/member/probe.go
+++ b/pkg/proxy/member/probe.go
@@ -36,7 +36,7 @@
 			t.next = int(random % uint64(len(t.order)))
 		}
 		e := t.entries[t.order[t.next]]
-		if e.status == Left || e.status == Failed && !e.listed {
+		if e.status == Failed && !e.listed {
 			continue
 		}
 		nonce := random | 1
@@ -114,7 +114,7 @@
 		if e.status == Suspect && age >= t.Suspicion {
 			changed = t.apply(now, Update{State: e.state, Status: Failed, Round: e.round}) || changed
 		}
-		if e.status >= Failed && age >= forgetAfter && !e.listed {
+		if e.status == Failed && age >= forgetAfter && !e.listed {
 			t.forget(id)
 		}
 	}
@@ -135,7 +135,7 @@
 func (t *Table) receive(now proxy.Instant, e proxy.Received) []proxy.Effect {
 	switch m := e.Message.(type) {
 	case *Ping:
-		changed := t.hear(now, m.From, m.Round, m.Updates)
+		changed := t.merge(now, m.From, m.Round, m.Updates)
 		ack := &Ack{Nonce: m.Nonce, From: t.Self, Round: t.round, Updates: t.updates()}
 		return t.withChange(changed, proxy.Send{To: m.From.ID, Message: ack})
 	case *Ack:
@@ -156,7 +156,7 @@
 }
 
 func (t *Table) acknowledge(now proxy.Instant, m *Ack) []proxy.Effect {
-	changed := t.hear(now, m.From, m.Round, m.Updates)
+	changed := t.merge(now, m.From, m.Round, m.Updates)
 	delete(t.probes, m.Nonce)
 	r, relayed := t.relays[m.Nonce]
 	if !relayed {
@@ -164,13 +164,13 @@
 	}
 	delete(t.relays, m.Nonce)
 	// The answer is passed on as the target's own, since the asker only needs
-	// the proof of life and the round.
+	// the answer and the round.
 	passed := &Ack{Nonce: r.nonce, From: m.From, Round: m.Round}
 	return t.withChange(changed, proxy.Send{To: r.asker, Message: passed})
 }
 
-// hear takes a sign of life and the news that came with it.
-func (t *Table) hear(now proxy.Instant, from proxy.HostState, round uint64, updates []Update) bool {
+// merge takes what a message proves of its sender and the updates that came with it.
+func (t *Table) merge(now proxy.Instant, from proxy.HostState, round uint64, updates []Update) bool {
 	changed := false
 	if from.ID != t.Self.ID {
 		changed = t.apply(now, Update{State: from, Status: Alive, Round: round})
--- a/pkg/proxy/member/table.go
+++ b/pkg/proxy/member/table.go
@@ -26,12 +26,12 @@
 	relays = 3
 	// maxUpdates bounds the changes carried by one message.
 	maxUpdates = 8
-	// forgetAfter is how long a failed or departed host is remembered, so that
-	// late news of its old incarnation does not revive it.
+	// forgetAfter is how long a failed host is remembered, so that
+	// a late update of its old incarnation does not revive it.
 	forgetAfter = 10 * time.Minute
 )
 
-// Status is what a host believes of another.
+// Status is what a host knows of another.
 type Status uint8
 
 // The statuses of a host, ordered by precedence within one incarnation and round.
@@ -39,7 +39,6 @@
 	Alive Status = iota + 1
 	Suspect
 	Failed
-	Left
 )
 
 // Changed is the effect that tells the live hosts. Known counts the other hosts
@@ -99,7 +98,7 @@
 	next    int
 	probes  map[uint64]probe
 	relays  map[uint64]relay
-	news    []newsItem
+	pending []pendingUpdate
 	pinged  proxy.Instant
 	listed  proxy.Instant
 	started bool
@@ -175,7 +174,7 @@
 		case e.status == Alive || e.status == Suspect:
 			hosts = append(hosts, e.state)
 			known++
-		case e.status == Failed && e.listed:
+		case e.listed && !e.state.Leaving:
 			known++
 		}
 	}
@@ -231,7 +230,7 @@
 func (t *Table) leave() []proxy.Effect {
 	t.Self.Leaving = true
 	t.round++
-	t.spread(Update{State: t.Self, Status: Alive, Round: t.round})
+	t.disseminate(Update{State: t.Self, Status: Alive, Round: t.round})
 	var effects []proxy.Effect
 	for i, id := range t.order {
 		if i == relays {
--- a/pkg/proxy/member/update.go
+++ b/pkg/proxy/member/update.go
@@ -6,8 +6,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// newsItem is an update that is still passed on.
-type newsItem struct {
+// pendingUpdate is an update that is still passed on.
+type pendingUpdate struct {
 	update Update
 	left   int
 }
@@ -16,8 +16,8 @@
 // reports whether the set of live hosts may have changed.
 //
 // Order of updates of one host: by incarnation, then by round, then by status.
-// An Alive update with a higher round refutes a suspicion; Failed and Left are
-// refuted only by a higher round of the host itself or a later incarnation.
+// Suspect and Failed are refuted only by a higher round, which the host itself
+// chooses, or by a later incarnation.
 func (t *Table) apply(now proxy.Instant, u Update) bool {
 	if u.State.ID == t.Self.ID {
 		t.refute(u)
@@ -26,7 +26,7 @@
 	e, ok := t.entries[u.State.ID]
 	if !ok {
 		t.insert(now, u.State, u.Status).round = u.Round
-		t.spread(u)
+		t.disseminate(u)
 		return true
 	}
 	if !newer(u, e) {
@@ -37,7 +37,7 @@
 	e.status = u.Status
 	e.round = u.Round
 	e.since = now
-	t.spread(u)
+	t.disseminate(u)
 	return before.status != e.status || before.state != e.state
 }
 
@@ -51,43 +51,43 @@
 	return u.Status > e.status
 }
 
-// refute answers news that this host is suspected or failed, or that a later
+// refute answers updates that this host is suspected or failed, or that a later
 // incarnation of it is known, which happens when the wall clock that the
 // incarnation was drawn from has gone back.
 func (t *Table) refute(u Update) {
 	if u.State.Incarnation > t.Self.Incarnation {
 		t.Self.Incarnation = u.State.Incarnation + 1
 		t.round = 0
-		t.spread(Update{State: t.Self, Status: Alive})
+		t.disseminate(Update{State: t.Self, Status: Alive})
 		return
 	}
 	if u.State.Incarnation < t.Self.Incarnation || u.Status == Alive || u.Round < t.round {
 		return
 	}
 	t.round = u.Round + 1
-	t.spread(Update{State: t.Self, Status: Alive, Round: t.round})
+	t.disseminate(Update{State: t.Self, Status: Alive, Round: t.round})
 }
 
-// spread queues an update for the next messages, in place of older news of the
+// disseminate queues an update for the next messages, in place of an older update of the
 // same host. Each update is passed on a number of times that grows with the
 // logarithm of the fleet.
-func (t *Table) spread(u Update) {
+func (t *Table) disseminate(u Update) {
 	times := 3 * (bits.Len(uint(len(t.entries))) + 1)
-	for i := range t.news {
-		if t.news[i].update.State.ID == u.State.ID {
-			t.news[i] = newsItem{update: u, left: times}
+	for i := range t.pending {
+		if t.pending[i].update.State.ID == u.State.ID {
+			t.pending[i] = pendingUpdate{update: u, left: times}
 			return
 		}
 	}
-	t.news = append(t.news, newsItem{update: u, left: times})
+	t.pending = append(t.pending, pendingUpdate{update: u, left: times})
 }
 
-// updates returns the news for one message, those passed on least first.
+// updates returns the updates for one message, those sent least often first.
 func (t *Table) updates() []Update {
-	n := min(maxUpdates, len(t.news))
+	n := min(maxUpdates, len(t.pending))
 	updates := make([]Update, 0, n)
-	kept := make([]newsItem, 0, len(t.news))
-	for i, item := range t.news {
+	kept := make([]pendingUpdate, 0, len(t.pending))
+	for i, item := range t.pending {
 		if i < n {
 			updates = append(updates, item.update)
 			item.left--
@@ -97,7 +97,7 @@
 		}
 	}
 	// Items that were sent move behind those that wait.
-	rotated := len(kept) - max(0, len(t.news)-n)
-	t.news = append(kept[rotated:], kept[:rotated]...)
+	rotated := len(kept) - max(0, len(t.pending)-n)
+	t.pending = append(kept[rotated:], kept[:rotated]...)
 	return updates
 }
--- a/pkg/proxy/promotion/alarm.go
+++ b/pkg/proxy/promotion/alarm.go
@@ -17,15 +17,15 @@
 	raisedAt proxy.Instant
 	raised   bool
 	askedAt  proxy.Instant
-	views    map[proxy.HostID]opinion
+	views    map[proxy.HostID]hostView
 	// mark is a position of the primary that too few replicas have received;
 	// reached is the position that enough replicas have received.
 	mark, reached proxy.Position
 	markAt        proxy.Instant
 }
 
-// opinion is another host's view of the primary.
-type opinion struct {
+// hostView is another host's view of the primary.
+type hostView struct {
 	health Health
 	at     proxy.Instant
 }
@@ -137,9 +137,9 @@
 		return
 	}
 	if g.alarm.views == nil {
-		g.alarm.views = make(map[proxy.HostID]opinion)
+		g.alarm.views = make(map[proxy.HostID]hostView)
 	}
-	g.alarm.views[from] = opinion{health: v.Health, at: s.now}
+	g.alarm.views[from] = hostView{health: v.Health, at: s.now}
 	if v.Ask {
 		s.emit(proxy.Send{To: from, Message: &View{Group: g.id, Term: v.Term, Health: g.health(s)}})
 	}
--- a/pkg/proxy/promotion/bench_test.go
+++ b/pkg/proxy/promotion/bench_test.go
@@ -12,7 +12,7 @@
 // steady returns a host's machine of a group that works and its observations.
 func steady(b *testing.B) (*host, []promotion.Observed) {
 	b.Helper()
-	w := newWorld(1, 4, 3, 0)
+	w := newSimulation(1, 4, 3, 0)
 	w.run(warmUp)
 	h := w.hosts[0]
 	var all []promotion.Observed
--- a/pkg/proxy/promotion/fault_test.go
+++ b/pkg/proxy/promotion/fault_test.go
@@ -8,7 +8,7 @@
 )
 
 // faultKinds returns the faults that a random run draws from.
-func (w *world) faultKinds() []func(f fault) {
+func (w *simulation) faultKinds() []func(f fault) {
 	return []func(f fault){
 		w.killInstance, w.killHost, w.pauseHost, w.cutHost, w.cutPlatform, w.cutHosts,
 		w.cutInstances, w.isolate, w.isolateFromHosts, w.outage, w.slowPlatform,
@@ -26,7 +26,7 @@
 }
 
 // disturb inflicts a random fault. Half of those of an instance hit the primary.
-func (w *world) disturb(longest time.Duration) {
+func (w *simulation) disturb(longest time.Duration) {
 	if w.now >= w.end {
 		return
 	}
@@ -44,7 +44,7 @@
 }
 
 // provoke inflicts faults at a moment that a change of primary depends on.
-func (w *world) provoke() {
+func (w *simulation) provoke() {
 	for w.chance(w.pressure) {
 		if w.chance(0.4) {
 			w.after(w.between(0, 300*time.Millisecond), func() { w.disturb(2 * time.Second) })
@@ -56,7 +56,7 @@
 }
 
 // primary returns the instance that the object names.
-func (w *world) primary() *instance {
+func (w *simulation) primary() *instance {
 	o, err := promotion.Decode(w.store.value)
 	if err != nil {
 		return nil
@@ -64,27 +64,27 @@
 	return w.instance(o.Era().Primary)
 }
 
-func (w *world) killInstance(f fault) {
+func (w *simulation) killInstance(f fault) {
 	if f.instance.alive {
 		f.instance.kill(f.lasts)
 	}
 }
 
-func (w *world) killHost(f fault) {
+func (w *simulation) killHost(f fault) {
 	if f.host.alive {
 		f.host.kill(f.lasts)
 	}
 }
 
-func (w *world) pauseHost(f fault) {
+func (w *simulation) pauseHost(f fault) {
 	f.host.paused = max(f.host.paused, w.now+f.lasts)
 }
 
-func (w *world) cutHost(f fault) { w.block(f.host.name(), f.instance.name(), true, f.lasts) }
+func (w *simulation) cutHost(f fault) { w.block(f.host.name(), f.instance.name(), true, f.lasts) }
 
-func (w *world) cutPlatform(f fault) { w.block(f.host.name(), platform, true, f.lasts) }
+func (w *simulation) cutPlatform(f fault) { w.block(f.host.name(), platform, true, f.lasts) }
 
-func (w *world) cutHosts(f fault) {
+func (w *simulation) cutHosts(f fault) {
 	for _, h := range w.hosts {
 		if h != f.host && w.chance(0.5) {
 			w.block(h.name(), f.host.name(), true, f.lasts)
@@ -92,14 +92,14 @@
 	}
 }
 
-func (w *world) cutInstances(f fault) {
+func (w *simulation) cutInstances(f fault) {
 	if f.instance != f.other {
 		w.block(f.instance.name(), f.other.name(), true, f.lasts)
 	}
 }
 
 // isolate cuts an instance from the others and from all hosts but perhaps one.
-func (w *world) isolate(f fault) {
+func (w *simulation) isolate(f fault) {
 	for _, i := range w.instances {
 		if i != f.instance {
 			w.block(f.instance.name(), i.name(), true, f.lasts)
@@ -110,7 +110,7 @@
 
 // isolateFromHosts cuts an instance from all hosts but perhaps one, which may
 // lose the platform as well. Replicas still receive the instance's log.
-func (w *world) isolateFromHosts(f fault) {
+func (w *simulation) isolateFromHosts(f fault) {
 	keep := w.chance(0.7)
 	for _, h := range w.hosts {
 		if h != f.host || !keep {
@@ -124,7 +124,7 @@
 
 // split divides hosts and instances into two parts. Each part may lose the
 // platform.
-func (w *world) split(f fault) {
+func (w *simulation) split(f fault) {
 	var parts [2][]string
 	for _, h := range w.hosts {
 		side := w.rng.IntN(2)
@@ -147,7 +147,7 @@
 // strand leaves the primary with one host, which still reaches the replicas but
 // neither the platform nor the other hosts. Its answers are the last that a
 // replaced primary gives.
-func (w *world) strand(f fault) {
+func (w *simulation) strand(f fault) {
 	p := w.primary()
 	if p == nil {
 		return
@@ -162,39 +162,39 @@
 	}
 }
 
-func (w *world) outage(f fault) { w.store.outage(f.lasts) }
+func (w *simulation) outage(f fault) { w.store.outage(f.lasts) }
 
-func (w *world) slowPlatform(f fault) {
+func (w *simulation) slowPlatform(f fault) {
 	slow := w.between(0, callTimeout)
 	w.store.slow += slow
 	w.after(f.lasts, func() { w.store.slow -= slow })
 }
 
-func (w *world) loseAnswers(f fault) {
+func (w *simulation) loseAnswers(f fault) {
 	w.store.lose, w.store.late = 0.4, 0.4
 	w.after(f.lasts, func() { w.store.lose, w.store.late = 0, 0 })
 }
 
-func (w *world) lagReplica(f fault) {
+func (w *simulation) lagReplica(f fault) {
 	f.other.lag = w.between(0, f.lasts)
 	w.after(f.lasts, func() { f.other.lag = usualLag })
 }
 
-func (w *world) lagAll(f fault) {
+func (w *simulation) lagAll(f fault) {
 	for _, i := range w.instances {
 		f.other = i
 		w.lagReplica(f)
 	}
 }
 
-func (w *world) hangConnection(f fault) { f.host.hung[f.instance.id] = true }
+func (w *simulation) hangConnection(f fault) { f.host.hung[f.instance.id] = true }
 
-func (w *world) cutOneWay(f fault) {
+func (w *simulation) cutOneWay(f fault) {
 	w.block(f.instance.name(), f.host.name(), false, f.lasts)
 }
 
 // changeMembers removes instances from the document and adds them again.
-func (w *world) changeMembers(f fault) {
+func (w *simulation) changeMembers(f fault) {
 	all := w.document.Groups[0].Instances
 	if len(all) < len(w.instances) || len(all) < 3 {
 		return
@@ -206,10 +206,10 @@
 }
 
 // slowLink delays the traffic between a host and all instances.
-func (w *world) slowLink(f fault) {
+func (w *simulation) slowLink(f fault) {
 	slow := w.between(0, probeTimeout)
 	f.host.slow += slow
 	w.after(f.lasts, func() { f.host.slow -= slow })
 }
 
-func (w *world) askChange(f fault) { w.nameNext(f.instance) }
+func (w *simulation) askChange(f fault) { w.nameNext(f.instance) }
--- a/pkg/proxy/promotion/host_test.go
+++ b/pkg/proxy/promotion/host_test.go
@@ -19,7 +19,7 @@
 
 // host simulates a pool host: its machine, its clock, probes and writers.
 type host struct {
-	w       *world
+	w       *simulation
 	id      proxy.HostID
 	rate    float64
 	origin  proxy.Instant
@@ -40,7 +40,7 @@
 	longest time.Duration
 }
 
-func newHost(w *world, n int) *host {
+func newHost(w *simulation, n int) *host {
 	return &host{
 		w:      w,
 		id:     proxy.HostID(fmt.Sprintf("h%d", n)),
--- a/pkg/proxy/promotion/instance_test.go
+++ b/pkg/proxy/promotion/instance_test.go
@@ -9,7 +9,7 @@
 
 // instance simulates a database server. Its log and mark are durable.
 type instance struct {
-	w        *world
+	w        *simulation
 	id       proxy.InstanceID
 	alive    bool
 	busy     bool
@@ -34,7 +34,7 @@
 	usualLag            = 5 * time.Millisecond
 )
 
-func newInstance(w *world, id proxy.InstanceID, recovery bool) *instance {
+func newInstance(w *simulation, id proxy.InstanceID, recovery bool) *instance {
 	i := &instance{w: w, id: id, alive: true, recovery: recovery, has: make(map[uint64]bool), lag: usualLag}
 	if recovery {
 		i.follows = "i0"
--- a/pkg/proxy/promotion/machine_test.go
+++ b/pkg/proxy/promotion/machine_test.go
@@ -42,7 +42,7 @@
 		instances := rapid.SampledFrom([]int{3, 3, 5, 5, 2}).Draw(t, "instances")
 		faults := rapid.IntRange(1, 15).Draw(t, "faults")
 		pressure := rapid.SampledFrom([]float64{0, 0.3, 0.6}).Draw(t, "pressure")
-		w := newWorld(seed, 4, instances, settling+faultTime)
+		w := newSimulation(seed, 4, instances, settling+faultTime)
 		w.pressure = pressure
 		for range faults {
 			w.after(w.between(settling, settling+faultTime), func() { w.disturb(4 * time.Second) })
@@ -60,7 +60,7 @@
 }
 
 // report fails the test on a violation.
-func (w *world) report(t failer) {
+func (w *simulation) report(t failer) {
 	t.Helper()
 	if len(w.violations) > 0 {
 		t.Fatalf("%s", w.violations[0])
@@ -68,7 +68,7 @@
 }
 
 // recovered checks that every host gets writes acknowledged again.
-func (w *world) recovered(t failer) {
+func (w *simulation) recovered(t failer) {
 	t.Helper()
 	healed := w.now
 	for w.now < healed+recoverWithin {
@@ -89,7 +89,7 @@
 }
 
 // acknowledging reports whether every host acknowledged a write after since.
-func (w *world) acknowledging(since time.Duration) bool {
+func (w *simulation) acknowledging(since time.Duration) bool {
 	for _, h := range w.hosts {
 		if h.lastAck < since {
 			return false
@@ -98,7 +98,7 @@
 	return true
 }
 
-func (w *world) describe() string {
+func (w *simulation) describe() string {
 	text := fmt.Sprintf("object %s;", w.store.value)
 	for _, i := range w.instances {
 		text += fmt.Sprintf(" %s alive=%v busy=%v recovery=%v mark=%+v end=%v follows=%s;",
--- a/pkg/proxy/promotion/message.go
+++ b/pkg/proxy/promotion/message.go
@@ -6,10 +6,10 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// Health is a host's opinion of a primary.
+// Health is a host's hostView of a primary.
 type Health uint8
 
-// The opinions of a primary.
+// The views of a primary.
 const (
 	// Uncertain hosts have too few observations and do not count.
 	Uncertain Health = iota
--- a/pkg/proxy/promotion/plan.go
+++ b/pkg/proxy/promotion/plan.go
@@ -66,7 +66,7 @@
 		}
 	}
 	if wanted == "" && g.leaving(g.object.Era().Primary) {
-		wanted = g.heir(s)
+		wanted = g.candidate(s)
 	}
 	if !g.object.Replica(wanted) || g.leaving(wanted) {
 		return ""
@@ -80,8 +80,8 @@
 	return !slices.ContainsFunc(g.declared.Instances, func(i proxy.Instance) bool { return i.ID == instance && !i.Leaving })
 }
 
-// heir returns the replica with the highest position that is not leaving.
-func (g *group) heir(s *step) proxy.InstanceID {
+// candidate returns the replica with the highest position that is not leaving.
+func (g *group) candidate(s *step) proxy.InstanceID {
 	var best *Observed
 	for _, o := range g.replicas(s) {
 		if g.counts(o) && !g.leaving(o.Instance) && (best == nil || o.Received > best.Received) {
--- a/pkg/proxy/promotion/scenario_test.go
+++ b/pkg/proxy/promotion/scenario_test.go
@@ -17,10 +17,10 @@
 	warmUp        = 1500 * time.Millisecond
 )
 
-// settled returns a world in which every host has acknowledged writes.
-func settled(t *testing.T, seed uint64, instances int) *world {
+// settled returns a simulation in which every host has acknowledged writes.
+func settled(t *testing.T, seed uint64, instances int) *simulation {
 	t.Helper()
-	w := newWorld(seed, 4, instances, 0)
+	w := newSimulation(seed, 4, instances, 0)
 	w.slowOrder = 0
 	w.run(warmUp)
 	if !w.acknowledging(warmUp - 500*time.Millisecond) {
@@ -38,30 +38,30 @@
 	cases := []struct {
 		name  string
 		limit time.Duration
-		fault func(w *world)
+		fault func(w *simulation)
 	}{
-		{"primary fails", 2 * time.Second, func(w *world) { w.instances[0].kill(time.Hour) }},
-		{"primary isolated", 2 * time.Second, func(w *world) { w.isolateFully(w.instances[0]) }},
-		{"primary and its hosts fail", 2 * time.Second, func(w *world) {
+		{"primary fails", 2 * time.Second, func(w *simulation) { w.instances[0].kill(time.Hour) }},
+		{"primary isolated", 2 * time.Second, func(w *simulation) { w.isolateFully(w.instances[0]) }},
+		{"primary and its hosts fail", 2 * time.Second, func(w *simulation) {
 			w.instances[0].kill(time.Hour)
 			w.hosts[0].kill(time.Hour)
 		}},
-		{"primary cut from replicas", 2 * time.Second, func(w *world) {
+		{"primary cut from replicas", 2 * time.Second, func(w *simulation) {
 			w.block("i0", "i1", true, time.Hour)
 			w.block("i0", "i2", true, time.Hour)
 		}},
-		{"platform slow", 5 * time.Second, func(w *world) {
+		{"platform slow", 5 * time.Second, func(w *simulation) {
 			w.store.slow = 250 * time.Millisecond
 			w.instances[0].kill(time.Hour)
 		}},
-		{"platform down before, during and after", 5 * time.Second, func(w *world) {
+		{"platform down before, during and after", 5 * time.Second, func(w *simulation) {
 			w.store.outage(3 * time.Second)
 			w.instances[0].kill(time.Hour)
 		}},
-		{"platform down throughout", 500 * time.Millisecond, func(w *world) { w.store.outage(time.Hour) }},
-		{"replica fails", 2 * time.Second, func(w *world) { w.instances[1].kill(time.Hour) }},
-		{"host cut from platform", 500 * time.Millisecond, func(w *world) { w.block("h0", platform, true, time.Hour) }},
-		{"connections stop", 2 * time.Second, func(w *world) {
+		{"platform down throughout", 500 * time.Millisecond, func(w *simulation) { w.store.outage(time.Hour) }},
+		{"replica fails", 2 * time.Second, func(w *simulation) { w.instances[1].kill(time.Hour) }},
+		{"host cut from platform", 500 * time.Millisecond, func(w *simulation) { w.block("h0", platform, true, time.Hour) }},
+		{"connections stop", 2 * time.Second, func(w *simulation) {
 			for _, h := range w.hosts {
 				h.hung["i0"] = true
 			}
@@ -88,7 +88,7 @@
 
 // unavailable returns the longest time without an acknowledgement at any host
 // that was not killed.
-func (w *world) unavailable() time.Duration {
+func (w *simulation) unavailable() time.Duration {
 	var d time.Duration
 	for _, h := range w.hosts {
 		if h.alive {
@@ -98,7 +98,7 @@
 	return d
 }
 
-func (w *world) isolateFully(i *instance) {
+func (w *simulation) isolateFully(i *instance) {
 	for _, other := range w.instances {
 		if other != i {
 			w.block(i.name(), other.name(), true, time.Hour)
@@ -112,12 +112,12 @@
 // TestPlannedChange guards against a planned change that takes more than 500 ms
 // or leaves a write without an answer.
 func TestPlannedChange(t *testing.T) {
-	changes := map[string]func(w *world){
-		"object": func(w *world) { w.nameNext(w.instances[2]) },
-		"document": func(w *world) {
+	changes := map[string]func(w *simulation){
+		"object": func(w *simulation) { w.nameNext(w.instances[2]) },
+		"document": func(w *simulation) {
 			w.declare(func(i *proxy.Instance) { i.Primary = i.ID == "i2" })
 		},
-		"primary leaves": func(w *world) {
+		"primary leaves": func(w *simulation) {
 			w.declare(func(i *proxy.Instance) { i.Leaving = i.ID == "i0" })
 		},
 	}
@@ -162,7 +162,7 @@
 }
 
 // declare puts a new document in force on all hosts, at different times.
-func (w *world) declare(edit func(i *proxy.Instance)) {
+func (w *simulation) declare(edit func(i *proxy.Instance)) {
 	instances := slices.Clone(w.document.Groups[0].Instances)
 	for n := range instances {
 		edit(&instances[n])
@@ -171,7 +171,7 @@
 }
 
 // configure puts a document with the given instances in force.
-func (w *world) configure(instances []proxy.Instance) {
+func (w *simulation) configure(instances []proxy.Instance) {
 	g := w.document.Groups[0]
 	g.Instances = instances
 	w.document = &proxy.Document{Groups: []proxy.Group{g}}
--- a/pkg/proxy/promotion/world_test.go
+++ b/pkg/proxy/promotion/simulation_test.go
@@ -9,9 +9,9 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// world simulates hosts, instances and a platform under virtual time. All its
+// simulation simulates hosts, instances and a platform under virtual time. All its
 // choices come from one seeded generator.
-type world struct {
+type simulation struct {
 	now       time.Duration
 	end       time.Duration
 	queue     events
@@ -65,9 +65,9 @@
 
 const simulated = proxy.GroupID("orders")
 
-// newWorld returns a running world with the given numbers of hosts and instances.
-func newWorld(seed uint64, hosts, instances int, end time.Duration) *world {
-	w := &world{
+// newSimulation returns a running simulation with the given numbers of hosts and instances.
+func newSimulation(seed uint64, hosts, instances int, end time.Duration) *simulation {
+	w := &simulation{
 		end:       end,
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		blocked:   make(map[link]int),
@@ -92,7 +92,7 @@
 }
 
 // run advances virtual time to until.
-func (w *world) run(until time.Duration) {
+func (w *simulation) run(until time.Duration) {
 	for len(w.queue) > 0 && w.queue[0].at <= until {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
@@ -105,25 +105,25 @@
 }
 
 // after schedules do.
-func (w *world) after(d time.Duration, do func()) {
+func (w *simulation) after(d time.Duration, do func()) {
 	w.sequence++
 	heap.Push(&w.queue, event{at: w.now + d, sequence: w.sequence, do: do})
 }
 
 // between returns a random duration.
-func (w *world) between(low, high time.Duration) time.Duration {
+func (w *simulation) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
 }
 
-func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+func (w *simulation) chance(p float64) bool { return w.rng.Float64() < p }
 
 // send delivers a message after the usual delay if the link works on both ends
 // of the delay.
-func (w *world) send(from, to string, do func()) {
+func (w *simulation) send(from, to string, do func()) {
 	w.sendAfter(from, to, w.between(300*time.Microsecond, 6*time.Millisecond), do)
 }
 
-func (w *world) sendAfter(from, to string, d time.Duration, do func()) {
+func (w *simulation) sendAfter(from, to string, d time.Duration, do func()) {
 	l := link{from, to}
 	if w.blocked[l] > 0 {
 		return
@@ -136,7 +136,7 @@
 }
 
 // block stops both directions between two parties, or only the first.
-func (w *world) block(a, b string, both bool, d time.Duration) {
+func (w *simulation) block(a, b string, both bool, d time.Duration) {
 	links := []link{{a, b}}
 	if both {
 		links = append(links, link{b, a})
@@ -151,7 +151,7 @@
 	})
 }
 
-func (w *world) instance(id proxy.InstanceID) *instance {
+func (w *simulation) instance(id proxy.InstanceID) *instance {
 	for _, i := range w.instances {
 		if i.id == id {
 			return i
@@ -160,12 +160,12 @@
 	return nil
 }
 
-func (w *world) violate(format string, args ...any) {
+func (w *simulation) violate(format string, args ...any) {
 	w.violations = append(w.violations, fmt.Sprintf("at %v: ", w.now)+fmt.Sprintf(format, args...))
 }
 
 // acknowledged checks G2 and G14 for an acknowledgement that leaves now.
-func (w *world) acknowledged(h *host, on proxy.InstanceID, id uint64, term proxy.Term) {
+func (w *simulation) acknowledged(h *host, on proxy.InstanceID, id uint64, term proxy.Term) {
 	w.stats.acks++
 	w.acked = append(w.acked, ack{id: id, term: term, at: w.now})
 	for _, p := range w.promotions {
@@ -180,7 +180,7 @@
 }
 
 // began checks G14 when an instance starts to accept writes in a term.
-func (w *world) began(i *instance, term proxy.Term) {
+func (w *simulation) began(i *instance, term proxy.Term) {
 	w.stats.promotions++
 	for _, p := range w.promotions {
 		if p.term == term && p.instance != i.id {
--- a/pkg/proxy/promotion/store_test.go
+++ b/pkg/proxy/promotion/store_test.go
@@ -13,7 +13,7 @@
 
 // store simulates the platform's object store with one object.
 type store struct {
-	w       *world
+	w       *simulation
 	value   []byte
 	version proxy.Version
 	down    int
@@ -135,7 +135,7 @@
 }
 
 // nameNext makes an operator ask for a planned change in the object.
-func (w *world) nameNext(i *instance) {
+func (w *simulation) nameNext(i *instance) {
 	o, err := promotion.Decode(w.store.value)
 	if err != nil {
 		return
