Never drop the effects that no worker has to wait for

A full backlog could drop the effect that puts a revision into force, which the configuration does not repeat. Only calls and messages wait for a worker now; everything else is carried out at once.

--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -13,9 +13,9 @@
 // Sizes of a Driver.
 const (
 	driverWorkers = 8
-	// driverBacklog bounds the effects that wait for a worker. Beyond it
-	// effects are dropped, as if the call had failed; modules repeat what
-	// matters at their next tick.
+	// driverBacklog bounds the calls and messages that wait for a worker.
+	// Beyond it they are dropped, as if they had failed; modules repeat them.
+	// Other effects do not wait for a worker and are never dropped.
 	driverBacklog = 1024
 	watchPause    = 500 * time.Millisecond
 	sendTimeout   = 500 * time.Millisecond
@@ -35,6 +35,9 @@
 	Log zerolog.Logger
 
 	once    sync.Once
+	// ctx ends with Run.
+	ctx     context.Context
+	cancel  context.CancelFunc
 	modules []scheduled
 	tasks   chan task
 	mu      sync.Mutex
@@ -68,6 +71,8 @@
 // Run drives the modules until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
 	d.prepare()
+	stop := context.AfterFunc(ctx, d.cancel)
+	defer stop()
 	for range driverWorkers {
 		d.running.Add(1)
 		go d.work(ctx)
@@ -83,6 +88,7 @@
 // prepare makes the queue, in which effects of events before Run wait.
 func (d *Driver) prepare() {
 	d.once.Do(func() {
+		d.ctx, d.cancel = context.WithCancel(context.Background())
 		d.tasks = make(chan task, driverBacklog)
 		d.watches = make(map[proxy.Key]context.CancelFunc)
 	})
@@ -98,14 +104,26 @@
 func (d *Driver) handle(module proxy.Module, event proxy.Event) {
 	d.prepare()
 	for _, effect := range gather(module.Handle(d.Clock.Now(), event)) {
-		select {
-		case d.tasks <- task{module: module, effect: effect}:
+		switch e := effect.(type) {
+		case proxy.Fetch, proxy.List, proxy.Put, *batch:
+			d.enqueue(task{module: module, effect: effect})
+		case proxy.Watch:
+			d.watch(module, e)
 		default:
-			d.Log.Warn().Type("effect", effect).Msg("effect dropped: too many wait for a worker")
+			d.Own(d.ctx, e)
 		}
 	}
 }
 
+// enqueue gives a call or message to a worker.
+func (d *Driver) enqueue(t task) {
+	select {
+	case d.tasks <- t:
+	default:
+		d.Log.Warn().Type("effect", t.effect).Msg("effect dropped: too many wait for a worker")
+	}
+}
+
 // gather puts all messages to one host into one batch.
 func gather(effects []proxy.Effect) []proxy.Effect {
 	gathered := effects[:0:0]
@@ -173,12 +191,8 @@
 	case proxy.Put:
 		version, err := d.Store.Put(ctx, e.Key, e.Value, e.Expected)
 		d.handle(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
-	case proxy.Watch:
-		d.watch(ctx, t.module, e)
 	case *batch:
 		d.send(ctx, e)
-	default:
-		d.Own(ctx, e)
 	}
 }
 
@@ -192,7 +206,7 @@
 }
 
 // watch starts or stops following a prefix.
-func (d *Driver) watch(ctx context.Context, module proxy.Module, e proxy.Watch) {
+func (d *Driver) watch(module proxy.Module, e proxy.Watch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	stop, following := d.watches[e.Prefix]
@@ -203,10 +217,10 @@
 		}
 		return
 	}
-	if following {
+	if following || d.ctx.Err() != nil {
 		return
 	}
-	watchCtx, cancel := context.WithCancel(ctx)
+	watchCtx, cancel := context.WithCancel(d.ctx)
 	d.watches[e.Prefix] = cancel
 	d.running.Add(1)
 	go d.follow(watchCtx, module, e.Prefix)
