--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -34,7 +34,7 @@
 	Own func(ctx context.Context, effect proxy.Effect)
 	Log zerolog.Logger
 
-	once    sync.Once
+	once sync.Once
 	// ctx ends with Run.
 	ctx     context.Context
 	cancel  context.CancelFunc
