--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -34,15 +34,26 @@
 
 func hostID(i int) proxy.HostID { return proxy.HostID(fmt.Sprintf("host-%d", i+1)) }
 
-// freeAddress returns an address on loopback that was free a moment ago. The
-// settings require a port, so that the host cannot choose one itself.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+// The range of the hosts' ports lies below the ports that systems give to
+// outgoing connections. The settings require a port, and one that was free for
+// a listener a moment ago may have been given to a connection since.
+const (
+	firstPort = 21_000
+	lastPort  = 31_000
+)
+
+// freeAddress returns an address on loopback that is free.
+func (n *installation) freeAddress() (string, error) {
+	for n.port = max(n.port, firstPort-1); n.port < lastPort; {
+		n.port++
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", n.port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return listener.Addr().String(), nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", fmt.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 func (n *installation) startHost(ctx context.Context, id proxy.HostID, zone proxy.Zone) error {
@@ -60,7 +71,7 @@
 		Grace: grace,
 	}
 	for _, address := range []*string{&settings.Listen, &settings.Peers, &settings.Status} {
-		free, err := freeAddress()
+		free, err := n.freeAddress()
 		if err != nil {
 			return err
 		}
--- a/internal/experiment/installation.go
+++ b/internal/experiment/installation.go
@@ -41,6 +41,7 @@
 	platform  *platform.Server
 	address   string // of the platform
 	hosts     []*host
+	port      int // the last one that was tried for a host
 	instances map[proxy.InstanceID]*emulated
 	// connections are sampled during the load.
 	connections connections
