--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -31,8 +31,9 @@
 	open    int
 	dialing int
 	lent    int
-	// writers holds the connections of write loans with the loans' terms.
-	writers map[*connection]proxy.Term
+	// primaryLoans holds the connections that were lent while the instance was
+	// the primary, with the loans' terms.
+	primaryLoans map[*connection]proxy.Term
 	// watched reports that the monitor has a connection of its own.
 	watched bool
 	// leaving instances get no new loan.
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -164,7 +164,9 @@
 		writes := ask.Access == proxy.Write
 		if writes {
 			p.addWriter(i.group, 1)
-			i.addWriter(c, lent.Term)
+		}
+		if lent.Primary {
+			i.addPrimaryLoan(c, lent.Term)
 		}
 		// The count is raised before the check, so that a planned change of
 		// primary either sees this loan or makes it wait.
@@ -276,7 +278,7 @@
 		return
 	}
 	c.lent = false
-	delete(i.writers, c)
+	delete(i.primaryLoans, c)
 	c.used = now
 	i.lent--
 	kept := i.keep(c, usable)
--- a/internal/pool/replaced.go
+++ b/internal/pool/replaced.go
@@ -2,18 +2,18 @@
 
 import "github.com/auburnyoke/auburnyoke/pkg/proxy"
 
-// addWriter notes that a connection carries a write loan of a term.
-func (i *instance) addWriter(c *connection, term proxy.Term) {
+// addPrimaryLoan notes that a connection to the primary of a term is lent.
+func (i *instance) addPrimaryLoan(c *connection, term proxy.Term) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.writers == nil {
-		i.writers = make(map[*connection]proxy.Term)
+	if i.primaryLoans == nil {
+		i.primaryLoans = make(map[*connection]proxy.Term)
 	}
-	i.writers[c] = term
+	i.primaryLoans[c] = term
 }
 
-// breakReplaced closes the connections of write loans on an instance that has
-// been replaced as primary. Their writes cannot be acknowledged any more, and a
+// breakReplaced closes the lent connections to an instance that has been
+// replaced as primary. Their writes cannot be acknowledged any more, and a
 // replaced primary may never answer; without this the client would learn of it
 // only when its statement exceeds the route's timeout.
 func (p *Pool) breakReplaced(i *instance) {
@@ -23,10 +23,10 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for c, term := range i.writers {
+	for c, term := range i.primaryLoans {
 		if term < leadership.Term {
 			c.close()
-			delete(i.writers, c)
+			delete(i.primaryLoans, c)
 			p.count("pool.replaced")
 		}
 	}
--- a/internal/pool/replaced_test.go
+++ b/internal/pool/replaced_test.go
@@ -13,23 +13,33 @@
 
 // Guards against a client that waits for a replaced primary which never answers
 // until its statement exceeds the route's timeout.
-func TestWriteOnReplacedPrimaryEnds(t *testing.T) {
+func TestLoansOfReplacedPrimaryEnd(t *testing.T) {
 	is := is.New(t)
 	g := startGroup(t, 3, 2)
-	held, err := g.pool.Lend(t.Context(), ask(1))
-	is.NoErr(err)
-	defer held.Release(proxy.Return{Broken: true})
+	read := reading(proxy.Bookmark{})
+	read.Covered = false // without a bound the read goes to the primary
+	ended := make(chan error, 2)
+	var loans []proxy.Loan
+	for _, a := range []proxy.Ask{ask(1), read} {
+		held, err := g.pool.Lend(t.Context(), a)
+		is.NoErr(err)
+		is.True(held.Lent().Primary)
+		defer held.Release(proxy.Return{Broken: true})
+		loans = append(loans, held)
+	}
 	is.True(g.one.SilenceAll() > 0)
-	held.Frontend().SendQuery(&pgproto3.Query{String: "INSERT INTO kv VALUES ('rug', 'sold')"})
-	is.NoErr(held.Frontend().Flush())
-	ended := make(chan error, 1)
-	go func() {
-		_, err := held.Frontend().Receive()
-		ended <- err
-	}()
+	for _, held := range loans {
+		held.Frontend().SendQuery(&pgproto3.Query{String: "SELECT 1"})
+		is.NoErr(held.Frontend().Flush())
+		go func() {
+			_, err := held.Frontend().Receive()
+			ended <- err
+		}()
+	}
 	is.NoErr(g.two.Promote())
 	g.leaders.set(proxy.Leadership{Term: 8, Primary: "two"})
 	is.True(<-ended != nil) // without the mechanism the test does not end
+	is.True(<-ended != nil)
 }
 
 // Guards against a planned stop that cuts off the loans of other hosts, and
