--- a/cmd/emulated-platform/main.go
+++ b/cmd/emulated-platform/main.go
@@ -13,11 +13,12 @@
 	"strings"
 	"syscall"
 
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest"
+
 	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
 	"github.com/auburnyoke/auburnyoke/internal/program"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
-	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/rest"
 )
 
 type options struct {
--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/rs/zerolog"
+
+	"github.com/auburnyoke/auburnyoke/internal/timing"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Sizes of a Driver.
@@ -235,7 +237,7 @@
 		objects, err := d.Store.Watch(ctx, prefix, after)
 		if err != nil {
 			d.Log.Debug().Err(err).Str("prefix", string(prefix)).Msg("watch failed")
-			pause(ctx, watchPause)
+			timing.Sleep(ctx, watchPause)
 			continue
 		}
 		for _, object := range objects {
@@ -244,12 +246,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -25,6 +25,7 @@
 	"github.com/auburnyoke/auburnyoke/internal/platform"
 	"github.com/auburnyoke/auburnyoke/internal/pool"
 	"github.com/auburnyoke/auburnyoke/internal/supervisor"
+	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
@@ -297,7 +298,7 @@
 	if left := h.pool.Drain(ctx); left > 0 {
 		h.log.Warn().Int("loans", left).Msg("loans to other hosts broken by shutdown")
 	}
-	pause(ctx, handOverTime)
+	timing.Sleep(ctx, handOverTime)
 }
 
 func (h *Host) logError(part string, err error) {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -10,10 +10,11 @@
 	"strings"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/conf"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Settings are the settings of one host. docs/settings.md lists each with unit,
--- a/internal/emulator/platform/server.go
+++ b/internal/emulator/platform/server.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/auburnyoke/auburnyoke/internal/timing"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // maxWait bounds a waiting watch.
@@ -65,7 +67,7 @@
 func (s *Server) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.faults.get()
-		if f.Delay > 0 && !sleep(r.Context(), f.Delay) {
+		if f.Delay > 0 && !timing.Sleep(r.Context(), f.Delay) {
 			return
 		}
 		if f.Outage {
@@ -185,15 +187,3 @@
 	}
 	http.Error(w, err.Error(), status)
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/experiment/connections.go
+++ b/internal/experiment/connections.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -28,7 +29,7 @@
 	for id, e := range n.instances {
 		n.connections.refusedBefore[id] = e.Status().Refused
 	}
-	for sleep(ctx, sampleInterval) {
+	for timing.Sleep(ctx, sampleInterval) {
 		for id, e := range n.instances {
 			n.connections.sampled[id] = max(n.connections.sampled[id], e.Status().Connections)
 		}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/instance"
 	"github.com/auburnyoke/auburnyoke/internal/emulator/platform"
+	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -123,7 +124,7 @@
 // fail causes the scenario's failure at its time. It returns when the failure
 // needs no more work.
 func (n *installation) fail(ctx context.Context) {
-	if !sleep(ctx, n.options.faultAt()) {
+	if !timing.Sleep(ctx, n.options.faultAt()) {
 		return
 	}
 	switch n.options.Scenario {
@@ -135,7 +136,7 @@
 		n.silence(ctx, n.primary(n.faulted()).Instance)
 	case Outage:
 		n.platform.SetFaults(platform.Faults{Outage: true})
-		sleep(ctx, n.options.Outage)
+		timing.Sleep(ctx, n.options.Outage)
 		n.platform.SetFaults(platform.Faults{})
 	case HostStopped:
 		n.hosts[0].stop()
@@ -149,7 +150,7 @@
 func (n *installation) silence(ctx context.Context, i *instance.Instance) {
 	for {
 		i.SilenceAll()
-		if !sleep(ctx, silenceInterval) {
+		if !timing.Sleep(ctx, silenceInterval) {
 			return
 		}
 	}
@@ -157,15 +158,3 @@
 
 // faulted returns the group whose primary fails.
 func (n *installation) faulted() proxy.GroupID { return n.document.Groups[0].ID }
-
-// sleep waits and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/inner/forwarder.go
+++ b/internal/inner/forwarder.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 )
@@ -50,24 +51,12 @@
 	}
 	for {
 		loan, err := f.lendOnce(ctx, ask)
-		if err == nil || ask.Patience <= 0 || !elsewhere(err) || !pause(ctx) {
+		if err == nil || ask.Patience <= 0 || !elsewhere(err) || !timing.Sleep(ctx, roundInterval) {
 			return loan, err
 		}
 	}
 }
 
-// pause waits between two rounds and reports whether ctx is still in force.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(roundInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // lendOnce asks each pool host once.
 func (f *Forwarder) lendOnce(ctx context.Context, ask proxy.Ask) (proxy.Loan, error) {
 	group := f.group(ask.Group)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,8 +12,9 @@
 	"strconv"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Limits of a call to the platform.
--- a/pkg/proxy/configuration/serving.go
+++ b/pkg/proxy/configuration/serving.go
@@ -1,8 +1,9 @@
 package configuration
 
 import (
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Serving returns nil if the host may serve clients at now, and a Refusal
--- a/pkg/proxy/configuration/table_test.go
+++ b/pkg/proxy/configuration/table_test.go
@@ -8,10 +8,11 @@
 	"testing"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
 )
 
 const (
--- a/pkg/proxy/limit/bound_test.go
+++ b/pkg/proxy/limit/bound_test.go
@@ -6,11 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
 	"github.com/auburnyoke/auburnyoke/internal/seeded"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
-	"github.com/matryer/is"
-	"pgregory.net/rapid"
 )
 
 // defaultChecks keeps the run with the race detector to a few seconds.
--- a/pkg/proxy/limit/expiry_test.go
+++ b/pkg/proxy/limit/expiry_test.go
@@ -4,9 +4,10 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
-	"pgregory.net/rapid"
 )
 
 // Guards against parts of which giver and receiver, or earlier and later holder
--- a/pkg/proxy/limit/fleet_test.go
+++ b/pkg/proxy/limit/fleet_test.go
@@ -8,9 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
--- a/pkg/proxy/limit/table.go
+++ b/pkg/proxy/limit/table.go
@@ -13,8 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
 // Defaults of a Table and intervals of its work.
--- a/pkg/proxy/member/table_test.go
+++ b/pkg/proxy/member/table_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
-	"github.com/matryer/is"
 )
 
 const (
