Tell events to the one module that they concern; derive the reported digest

Each observation of an instance took the locks of all four control modules, and each revision was decoded a second time only to keep its digest. Behaviour is unchanged.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,7 +10,6 @@
 	"github.com/auburnyoke/auburnyoke/internal/inner"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/configuration"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/environment"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/limit"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/member"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
@@ -21,19 +20,18 @@
 func (h *Host) own(_ context.Context, effect proxy.Effect) {
 	switch e := effect.(type) {
 	case member.Changed:
-		h.driver.Post(configuration.Peers{Live: e.Live, Known: e.Known})
+		h.driver.Tell(h.configuration, configuration.Peers{Live: e.Live, Known: e.Known})
 		h.placement.SetHosts(h.poolCandidates(e.Live))
 		h.place()
-		h.driver.Post(limit.Peers{Live: e.Live})
+		h.driver.Tell(h.limits, limit.Peers{Live: e.Live})
 	case limit.Violation:
 		metrics.GetOrRegisterCounter("limit.violations", h.registry).Inc(1)
 		h.log.Error().Str("account", string(e.Account)).Msg("invariant violated: " + e.Text)
 	case configuration.Apply:
-		h.driver.Post(limit.Configure{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
-		h.driver.Post(promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
+		h.driver.Tell(h.limits, limit.Configure{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
+		h.driver.Tell(h.promotion, promotion.Configured{Document: e.Loaded.Document, Revision: e.Loaded.Revision})
 		h.place()
 		h.log.Info().Uint64("revision", uint64(e.Loaded.Revision)).Msg("configuration in force")
-		h.apply(e.Loaded)
 		h.front.Recheck()
 		h.reporter.wake()
 	case configuration.Reject:
@@ -46,31 +44,6 @@
 	}
 }
 
-// apply keeps the envelope of the revision in force. Effects may be carried out
-// out of order, so an older one is passed over.
-func (h *Host) apply(loaded configuration.Loaded) {
-	envelope, err := environment.DecodeEnvelope(loaded.Data)
-	if err != nil {
-		h.log.Error().Err(err).Msg("envelope not kept")
-		return
-	}
-	for {
-		old := h.applied.Load()
-		if old != nil && old.Revision >= envelope.Revision || h.applied.CompareAndSwap(old, envelope) {
-			return
-		}
-	}
-}
-
-// inForce returns the revision in force and its digest.
-func (h *Host) inForce() (proxy.Revision, environment.Digest) {
-	envelope := h.applied.Load()
-	if envelope == nil {
-		return 0, ""
-	}
-	return envelope.Revision, envelope.Digest
-}
-
 // send delivers control messages to another host. A failed host is dialled too,
 // since probes find out when it is back.
 func (h *Host) send(ctx context.Context, to proxy.HostID, messages []proxy.Message) error {
@@ -145,7 +118,7 @@
 		for _, host := range placement.Pools(group, hosts) {
 			placed.Hosts = append(placed.Hosts, host.ID)
 		}
-		h.driver.Post(placed)
+		h.driver.Tell(h.promotion, placed)
 	}
 }
 
@@ -182,7 +155,7 @@
 // observed hands an observation to the promotion module and tells the pool how
 // far an instance of the current term has come.
 func (h *Host) observed(o promotion.Observed) {
-	h.driver.Post(o)
+	h.driver.Tell(h.promotion, o)
 	leadership, known := h.promotion.Leader(o.Group)
 	leads := o.Reachable && !o.Recovery && o.Instance == leadership.Primary
 	if known && (leads || o.Recovery && o.Mark.Follows(leadership.Term)) {
@@ -191,7 +164,7 @@
 }
 
 func (h *Host) writing(group proxy.GroupID, count int) {
-	h.driver.Post(promotion.Writing{Group: group, Count: count})
+	h.driver.Tell(h.promotion, promotion.Writing{Group: group, Count: count})
 }
 
 // forwarder lends from this host's pool or another's.
--- a/internal/daemon/driver.go
+++ b/internal/daemon/driver.go
@@ -96,14 +96,16 @@
 	})
 }
 
-// Post hands an event to every module.
+// Post hands an event to every module; it serves messages, whose module only
+// the modules know.
 func (d *Driver) Post(event proxy.Event) {
 	for _, t := range d.modules {
-		d.handle(t.module, event)
+		d.Tell(t.module, event)
 	}
 }
 
-func (d *Driver) handle(module proxy.Module, event proxy.Event) {
+// Tell hands an event to one module and has its effects carried out.
+func (d *Driver) Tell(module proxy.Module, event proxy.Event) {
 	d.prepare()
 	for _, effect := range gather(module.Handle(d.Clock.Now(), event)) {
 		switch e := effect.(type) {
@@ -153,7 +155,7 @@
 	ticker := time.NewTicker(t.interval)
 	defer ticker.Stop()
 	for {
-		d.handle(t.module, proxy.Tick{Random: d.random()})
+		d.Tell(t.module, proxy.Tick{Random: d.random()})
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -186,13 +188,13 @@
 	case proxy.Fetch:
 		object, err := d.Store.Get(ctx, e.Key)
 		object.Key = e.Key
-		d.handle(t.module, proxy.Fetched{Object: object, Sent: sent, Err: err})
+		d.Tell(t.module, proxy.Fetched{Object: object, Sent: sent, Err: err})
 	case proxy.List:
 		objects, err := d.Store.List(ctx, e.Prefix)
-		d.handle(t.module, proxy.Listed{Prefix: e.Prefix, Objects: objects, Sent: sent, Err: err})
+		d.Tell(t.module, proxy.Listed{Prefix: e.Prefix, Objects: objects, Sent: sent, Err: err})
 	case proxy.Put:
 		version, err := d.Store.Put(ctx, e.Key, e.Value, e.Expected)
-		d.handle(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
+		d.Tell(t.module, proxy.Written{Key: e.Key, Version: version, Sent: sent, Err: err})
 	case *batch:
 		d.send(ctx, e)
 	}
@@ -242,7 +244,7 @@
 		}
 		for _, object := range objects {
 			after = max(after, object.Version)
-			d.handle(module, proxy.Fetched{Object: object, Sent: sent})
+			d.Tell(module, proxy.Fetched{Object: object, Sent: sent})
 		}
 	}
 }
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -68,7 +68,6 @@
 	front         *front.Server
 	status        *rest.Server
 	reporter      *reporter
-	applied       atomic.Pointer[environment.Envelope]
 	stopping      atomic.Bool
 	aborted       chan struct{}
 }
@@ -215,7 +214,9 @@
 	if err != nil {
 		return configuration.Loaded{}, fmt.Errorf("document: %w", err)
 	}
-	return configuration.Loaded{Revision: envelope.Revision, Document: document, Data: data}, nil
+	return configuration.Loaded{
+		Revision: envelope.Revision, Document: document, Digest: string(envelope.Digest), Data: data,
+	}, nil
 }
 
 // Run serves until ctx ends and then shuts down gracefully: it announces its
@@ -279,20 +280,20 @@
 	for _, s := range h.settings.Seeds {
 		seeds = append(seeds, proxy.HostState{ID: s.Host, Zone: s.Zone, Address: s.Address})
 	}
-	h.driver.Post(member.Seed{Hosts: seeds})
+	h.driver.Tell(h.members, member.Seed{Hosts: seeds})
 }
 
 func (h *Host) announceStop() {
 	h.stopping.Store(true)
 	h.reporter.wake()
-	h.driver.Post(member.Leave{})
+	h.driver.Tell(h.members, member.Leave{})
 }
 
 // handOver ends what other hosts use of this one after its own clients are gone:
 // loans for other fronts come back, and the slots of the limits are freed once
 // the grants to other hosts have ended.
 func (h *Host) handOver() {
-	h.driver.Post(limit.Leave{})
+	h.driver.Tell(h.limits, limit.Leave{})
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace)
 	defer cancel()
 	if left := h.pool.Drain(ctx); left > 0 {
--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -71,7 +71,8 @@
 		Host: h.self.ID, Zone: h.self.Zone, Address: h.self.Address, Incarnation: h.self.Incarnation,
 		Time: time.Now(), Leaving: h.stopping.Load(),
 	}
-	status.Revision, status.Digest = h.inForce()
+	loaded := h.configuration.Loaded()
+	status.Revision, status.Digest = loaded.Revision, environment.Digest(loaded.Digest)
 	value, err := environment.EncodeStatus(status)
 	if err != nil {
 		return fmt.Errorf("encode status: %w", err)
--- a/pkg/proxy/configuration/table.go
+++ b/pkg/proxy/configuration/table.go
@@ -31,6 +31,8 @@
 type Loaded struct {
 	Revision proxy.Revision
 	Document *proxy.Document
+	// Digest identifies the document's text in what hosts report.
+	Digest string
 	// Data is the encoded form that is handed to peers.
 	Data []byte
 }
@@ -91,6 +93,13 @@
 	return t.current.Document, t.current.Revision
 }
 
+// Loaded returns the revision in force, zero where there is none.
+func (t *Table) Loaded() Loaded {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.current
+}
+
 // Handle implements proxy.Module.
 func (t *Table) Handle(now proxy.Instant, event proxy.Event) []proxy.Effect {
 	found := t.decode(event)
