Serve the platform's line protocol on entry hosts: the thin path

Cause: the product speaks PostgreSQL and its own store protocol; the users' platform speaks a line protocol, a metadata store with watches and a promote call. platform/ translates both; internal/entry serves sessions over it.

Ruled out: the pool and front of the PostgreSQL path, whose interfaces carry pgproto3 messages.

Before: nothing served there.

--- /dev/null
+++ b/cmd/auburnyoke-entry/main.go
@@ -0,0 +1,110 @@
+// Command auburnyoke-entry is the daemon of an entry host on a platform that
+// gives its settings file, its metadata store and its line protocol.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/auburnyoke/auburnyoke/internal/entry"
+	"github.com/auburnyoke/auburnyoke/internal/program"
+	"github.com/auburnyoke/auburnyoke/platform"
+)
+
+// The collector runs seldom on a small heap, and often only when the process
+// approaches its limit of memory.
+const (
+	collectPercent = 200
+	memoryPart     = 0.7
+)
+
+type options struct {
+	Settings string `long:"settings" short:"f" description:"settings file; by default the one that the platform names"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	var o options
+	program.Main("auburnyoke-entry", &o, func() error { return run(o) })
+}
+
+func run(o options) error {
+	path := o.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return fmt.Errorf("load settings: %w", err)
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	debug.SetGCPercent(collectPercent)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryPart))
+	}
+	output, flush := entry.NewOutput(os.Stdout)
+	defer flush()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(output).With().Timestamp().Str("host", string(settings.Host)).Logger()
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go watchReload(reload, path, settings, log)
+
+	host, cleanUp := build(settings, log)
+	defer cleanUp()
+	if err := host.Run(ctx); err != nil {
+		return fmt.Errorf("run host: %w", err)
+	}
+	return nil
+}
+
+// build returns a host on the platform and a function that releases what it
+// holds.
+func build(settings entry.Settings, log zerolog.Logger) (*entry.Host, func()) {
+	store, closeStore := platform.NewStore(settings.Store)
+	orders, closeOrders := platform.NewOrders(settings.Orders)
+	host := &entry.Host{
+		Settings: settings,
+		Log:      log,
+		Clock:    entry.BootClock{},
+		Store:    store,
+		Promoter: orders,
+		Dialer:   platform.NewDialer(),
+		Decode:   platform.Decoders(),
+		Client:   func(conn net.Conn) entry.Client { return platform.NewCaller(conn) },
+		Metrics:  entry.NewMetrics(),
+	}
+	return host, func() {
+		closeStore()
+		closeOrders()
+	}
+}
+
+// watchReload checks a changed settings file. Addresses and identity of a host
+// stay as they were at its start; the platform restarts it to change them.
+func watchReload(reload <-chan os.Signal, path string, current entry.Settings, log zerolog.Logger) {
+	for range reload {
+		settings, err := platform.LoadSettings(path)
+		switch {
+		case err != nil:
+			log.Error().Err(err).Msg("settings were not reloaded")
+		case settings != current:
+			log.Warn().Msg("settings changed; they are in force after a restart")
+		default:
+			log.Info().Msg("settings reloaded without a change")
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/conductor.go
@@ -0,0 +1,500 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/internal/timing"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
+)
+
+// Times of a replacement.
+const (
+	// handoverTime is how long a host lets operations that may write finish on a
+	// primary that is replaced as planned.
+	handoverTime = 400 * time.Millisecond
+	// rankTime staggers the hosts, so that usually one of them acts.
+	rankTime = 100 * time.Millisecond
+	// pollTime is the pause between two questions while something is awaited.
+	pollTime = 40 * time.Millisecond
+	// probeTimeout limits a question to an instance.
+	probeTimeout = 500 * time.Millisecond
+	// catchUpTime is how long the successor may take to receive what a primary
+	// that has stepped down had committed.
+	catchUpTime = 1500 * time.Millisecond
+)
+
+var errLostAttempt = eris.New("another host has changed the record")
+
+// acceptReplacements notes that the host no longer uses a primary that is being
+// replaced: at once if it has failed, otherwise after running operations ended.
+func (h *Host) acceptReplacements(now proxy.Instant) {
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.tenures {
+		if t.record.Phase != succession.Replacing || t.accepted {
+			continue
+		}
+		if t.record.Planned && t.working > 0 && now.Sub(t.seen) < handoverTime {
+			continue
+		}
+		t.accepted = true
+		h.Log.Info().Str("group", string(id)).Uint64("version", uint64(t.version)).Int("working", t.working).
+			Msg("replacement accepted")
+	}
+}
+
+// runConductor starts and conducts replacements, one at a time for each group.
+func (h *Host) runConductor(ctx context.Context) {
+	busy := make(map[proxy.GroupID]chan struct{})
+	for timing.Sleep(ctx, tickTime) {
+		for _, id := range h.configuredGroups() {
+			if done := busy[id]; done != nil {
+				select {
+				case <-done:
+					delete(busy, id)
+				default:
+					continue
+				}
+			}
+			if task := h.groupTask(id); task != nil {
+				done := make(chan struct{})
+				busy[id] = done
+				go func() {
+					defer close(done)
+					task(ctx)
+				}()
+			}
+		}
+	}
+}
+
+func (h *Host) configuredGroups() []proxy.GroupID {
+	c, _ := h.beliefs.current()
+	if c == nil {
+		return nil
+	}
+	ids := make([]proxy.GroupID, 0, len(c.Groups))
+	for id := range c.Groups {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// groupTask returns what the host has to do now for a group, or nil.
+func (h *Host) groupTask(id proxy.GroupID) func(context.Context) {
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.led == 0 || now.Sub(b.led) > 2*proofWait+storeSlack || b.configured == 0 {
+		return nil
+	}
+	t := b.tenures[id]
+	rank := time.Duration(h.rankLocked(now)) * rankTime
+	if t == nil {
+		if primary := b.registeredPrimary(id); primary != "" && now.Sub(h.joinedAt) > rank && h.joinedAt != 0 {
+			return func(ctx context.Context) { h.found(ctx, id, primary) }
+		}
+		return nil
+	}
+	view := b.view(now, id, t)
+	view.Own = t.record.Host == h.Settings.Host
+	reason, due := succession.Decide(view)
+	if !due || now.Sub(t.seen) < rank || view.Held < rank {
+		return nil
+	}
+	record := succession.Record{
+		Primary: t.record.Primary,
+		Phase:   succession.Replacing,
+		Host:    h.Settings.Host,
+		Planned: reason == succession.Leaving,
+	}
+	version := t.version
+	continued := t.record.Phase == succession.Replacing
+	return func(ctx context.Context) { h.replace(ctx, id, record, version, reason, continued) }
+}
+
+// storeSlack is how much older than two waits a proof may be while the store
+// counts as reachable.
+const storeSlack = time.Second
+
+// rankLocked returns the host's place among the live hosts.
+func (h *Host) rankLocked(now proxy.Instant) int {
+	rank := 0
+	for id, m := range h.beliefs.members {
+		if id < h.Settings.Host && now.Sub(m.changed) < liveTime {
+			rank++
+		}
+	}
+	return rank
+}
+
+// registeredPrimary returns the one registered instance of a group that calls
+// itself primary, or nothing.
+func (b *beliefs) registeredPrimary(id proxy.GroupID) proxy.InstanceID {
+	found := proxy.InstanceID("")
+	for _, i := range b.instances {
+		if i.Group != id || !i.Primary || i.missing != 0 {
+			continue
+		}
+		if found != "" {
+			return ""
+		}
+		found = i.ID
+	}
+	return found
+}
+
+// view gathers what the decision on a group's primary needs. The caller holds
+// the lock.
+func (b *beliefs) view(now proxy.Instant, id proxy.GroupID, t *tenure) succession.View {
+	v := succession.View{Record: t.record, Held: now.Sub(t.seen)}
+	if conductor := b.members[t.record.Host]; conductor != nil {
+		v.Conducting = conductor.report.Accepted[id] == t.version
+	}
+	i := b.instances[t.record.Primary]
+	switch {
+	case i == nil:
+		v.Missing = now.Sub(t.seen)
+	case i.missing != 0:
+		v.Missing = now.Sub(i.missing)
+	default:
+		v.Instance = &i.Instance
+		if i.demoted != 0 {
+			v.Demoted = min(now.Sub(i.demoted), now.Sub(t.seen))
+		}
+	}
+	for _, m := range b.members {
+		if now.Sub(m.changed) > liveTime {
+			continue
+		}
+		v.Hosts++
+		if slices.Contains(m.report.Suspects, t.record.Primary) {
+			v.Suspecting++
+		}
+	}
+	return v
+}
+
+// found writes a group's first record.
+func (h *Host) found(ctx context.Context, id proxy.GroupID, primary proxy.InstanceID) {
+	record := succession.Record{Primary: primary, Phase: succession.Settled}
+	written, err := h.Store.Write(ctx, tenureKind, string(id), record, 0)
+	if err != nil {
+		if !errors.Is(err, proxy.ErrConflict) {
+			h.Log.Warn().Err(err).Str("group", string(id)).Msg("first record was not written")
+		}
+		return
+	}
+	h.applyTenure(id, record, written.Version)
+	h.reconfigure()
+}
+
+// attempt is one host's replacement of a primary.
+type attempt struct {
+	host    *Host
+	group   proxy.GroupID
+	record  succession.Record
+	version proxy.Version
+	// began is the instant before the record was written, accepted the instant
+	// after the store acknowledged it.
+	began, accepted proxy.Instant
+	// continued reports that an earlier attempt may have sent promote calls.
+	continued bool
+}
+
+// replace conducts the replacement of a primary.
+func (h *Host) replace(
+	ctx context.Context, id proxy.GroupID, record succession.Record, version proxy.Version, reason succession.Reason,
+	continued bool,
+) {
+	a := &attempt{host: h, group: id, record: record, began: h.Clock.Now(), continued: continued}
+	log := h.Log.With().Str("group", string(id)).Str("primary", string(record.Primary)).Logger()
+	log.Info().Str("reason", string(reason)).Uint64("version", uint64(version)).Msg("replacement begins")
+	written, err := h.Store.Write(ctx, tenureKind, string(id), record, version)
+	if err != nil {
+		log.Info().Err(err).Msg("replacement was not begun")
+		return
+	}
+	a.version, a.accepted = written.Version, h.Clock.Now()
+	h.applyTenure(id, record, written.Version)
+	h.reconfigure()
+	successor, err := a.conduct(ctx)
+	if err != nil {
+		log.Warn().Err(err).Uint64("version", uint64(a.version)).Msg("replacement failed")
+		return
+	}
+	log.Info().Str("successor", string(successor)).Dur("took", h.Clock.Now().Sub(a.began)).Msg("replacement done")
+}
+
+// conduct carries the attempt through its steps.
+func (a *attempt) conduct(ctx context.Context) (proxy.InstanceID, error) {
+	if err := a.awaitRetirement(ctx); err != nil {
+		return "", err
+	}
+	final := a.stepDown()
+	for a.current() {
+		successor, ok := a.choose(final)
+		if !ok {
+			if !timing.Sleep(ctx, pollTime) {
+				return "", ctx.Err()
+			}
+			continue
+		}
+		if err := a.promote(ctx, successor); err != nil {
+			a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("promotion was not accepted")
+			if !timing.Sleep(ctx, pollTime) {
+				return "", ctx.Err()
+			}
+			continue
+		}
+		if a.awaitLead(ctx, successor) {
+			return successor, a.settle(ctx, successor)
+		}
+	}
+	return "", eris.New("time of the attempt is over")
+}
+
+// current reports whether the attempt may still act.
+func (a *attempt) current() bool {
+	now := a.host.Clock.Now()
+	b := a.host.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tenures[a.group]
+	return now.Sub(a.began) < succession.AttemptTime && t != nil && t.version == a.version
+}
+
+// awaitRetirement waits until no host uses the old primary any more.
+func (a *attempt) awaitRetirement(ctx context.Context) error {
+	for a.current() {
+		confirmed := a.confirmed(ctx)
+		since := a.host.Clock.Now().Sub(a.accepted)
+		if succession.Retired(since, confirmed) && (!a.continued || since > succession.OrderPause) {
+			return nil
+		}
+		if !timing.Sleep(ctx, pollTime) {
+			return ctx.Err()
+		}
+	}
+	return errLostAttempt
+}
+
+// confirmed reports whether every registered host has accepted the replacement.
+func (a *attempt) confirmed(ctx context.Context) bool {
+	listing, err := a.host.Store.List(ctx, memberKind)
+	if err != nil {
+		a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("hosts' confirmations were not read")
+		return false
+	}
+	for _, record := range listing.Records {
+		var r Report
+		if err := json.Unmarshal(record.Spec, &r); err != nil || r.Accepted[a.group] < a.version {
+			return false
+		}
+	}
+	return len(listing.Records) > 0
+}
+
+// stepDown makes the old primary a replica where it can be reached and returns
+// the end of its log.
+func (a *attempt) stepDown() *proxy.Bookmark {
+	b := a.host.beliefs
+	b.mu.Lock()
+	old, ok := b.instances[a.record.Primary]
+	b.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	condition, err := a.host.inspect(old.Instance)
+	if err != nil {
+		a.host.Log.Info().Err(err).Str("instance", string(old.ID)).Msg("old primary was not reached")
+		return nil
+	}
+	if !condition.Primary {
+		return &condition.Received
+	}
+	order := proxy.Statement{Verb: proxy.StepDown, Term: condition.Term + 1}
+	condition, err = a.host.ask(old.Instance, order)
+	if err != nil {
+		a.host.Log.Warn().Err(err).Str("instance", string(old.ID)).Msg("old primary did not step down")
+		return nil
+	}
+	return &condition.Received
+}
+
+// choose returns the successor. A reachable old primary's log must be complete
+// on it, for as long as that may take.
+func (a *attempt) choose(final *proxy.Bookmark) (proxy.InstanceID, bool) {
+	instances := a.host.beliefs.groupInstances(a.group)
+	conditions := a.host.inspectAll(instances, a.record.Primary)
+	successor, ok := succession.Successor(instances, conditions, a.record.Primary)
+	if !ok {
+		return "", false
+	}
+	late := a.host.Clock.Now().Sub(a.accepted) > succession.Lease+catchUpTime
+	if final != nil && conditions[successor].Received.Before(*final) && !late {
+		return "", false
+	}
+	return successor, true
+}
+
+// promote orders the promotion under the attempt's fence.
+func (a *attempt) promote(ctx context.Context, successor proxy.InstanceID) error {
+	read := a.host.Clock.Now()
+	listing, err := a.host.Store.List(ctx, tenureKind)
+	if err != nil {
+		return fmt.Errorf("read record before the order: %w", err)
+	}
+	for _, record := range listing.Records {
+		if record.Name == string(a.group) && record.Version != a.version {
+			return errLostAttempt
+		}
+	}
+	if !a.current() || a.host.Clock.Now().Sub(read) > succession.OrderTime {
+		return errLostAttempt
+	}
+	fence := uint64(a.version)
+	a.host.Log.Info().Str("group", string(a.group)).Str("successor", string(successor)).Uint64("fence", fence).
+		Msg("promotion ordered")
+	err = a.host.Promoter.Promote(ctx, a.group, successor, a.host.Settings.Host, fence)
+	if err != nil {
+		return fmt.Errorf("order promotion: %w", err)
+	}
+	return nil
+}
+
+// awaitLead waits until the successor leads.
+func (a *attempt) awaitLead(ctx context.Context, successor proxy.InstanceID) bool {
+	until := a.host.Clock.Now().Add(leadTime)
+	for a.current() && a.host.Clock.Now() < until {
+		for _, i := range a.host.beliefs.groupInstances(a.group) {
+			if i.ID != successor {
+				continue
+			}
+			if condition, err := a.host.inspect(i); err == nil && condition.Primary {
+				return true
+			}
+		}
+		if !timing.Sleep(ctx, pollTime) {
+			return false
+		}
+	}
+	return false
+}
+
+// leadTime is how long a promoted instance may take to lead: several times the
+// platform's usual second.
+const leadTime = 3 * time.Second
+
+// settle writes the new primary into the record. A lost answer is resolved by
+// the watch of the records.
+func (a *attempt) settle(ctx context.Context, successor proxy.InstanceID) error {
+	record := succession.Record{Primary: successor, Phase: succession.Settled}
+	for a.current() {
+		written, err := a.host.Store.Write(ctx, tenureKind, string(a.group), record, a.version)
+		if err == nil {
+			a.host.applyTenure(a.group, record, written.Version)
+			a.host.reconfigure()
+			return nil
+		}
+		a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("new primary was not recorded")
+		if !timing.Sleep(ctx, pollTime) {
+			return ctx.Err()
+		}
+	}
+	b := a.host.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.tenures[a.group]; t != nil && t.record == record {
+		return nil
+	}
+	return errLostAttempt
+}
+
+
+// inspect asks an instance for its condition.
+func (h *Host) inspect(i directory.Instance) (proxy.Condition, error) {
+	return h.ask(i, proxy.Statement{Verb: proxy.Inspect})
+}
+
+// ask sends one of the statements that return a condition, on a connection of
+// its own.
+func (h *Host) ask(i directory.Instance, s proxy.Statement) (proxy.Condition, error) {
+	target := proxy.Target{Group: i.Group, Instance: i.ID, Address: i.Address, Account: h.anyAccount()}
+	link, _, err := h.Dialer.Dial(probeTimeout, target)
+	if err != nil {
+		return proxy.Condition{}, fmt.Errorf("open connection: %w", err)
+	}
+	defer link.Close()
+	answers, err := link.Exchange(probeTimeout, proxy.Order{Statement: s})
+	if err != nil {
+		return proxy.Condition{}, fmt.Errorf("%s: %w", s.Verb, err)
+	}
+	if failure := answers[0].Failure; failure != nil {
+		return proxy.Condition{}, fmt.Errorf("%s: %w", s.Verb, failure)
+	}
+	if len(answers[0].Rows) == 0 {
+		return proxy.Condition{}, eris.Errorf("%s: answer without a row", s.Verb)
+	}
+	condition, err := h.Decode.Condition(answers[0].Rows[0])
+	if err != nil {
+		return proxy.Condition{}, fmt.Errorf("%s: %w", s.Verb, err)
+	}
+	return condition, nil
+}
+
+// anyAccount returns an account under which the host opens its own connections.
+func (h *Host) anyAccount() proxy.AccountID {
+	c, _ := h.beliefs.current()
+	lowest := proxy.AccountID("")
+	if c == nil {
+		return lowest
+	}
+	for id := range c.Accounts {
+		if lowest == "" || id < lowest {
+			lowest = id
+		}
+	}
+	return lowest
+}
+
+// inspectAll asks all instances but one at the same time.
+func (h *Host) inspectAll(instances []directory.Instance, except proxy.InstanceID) map[proxy.InstanceID]proxy.Condition {
+	type answer struct {
+		id        proxy.InstanceID
+		condition proxy.Condition
+		err       error
+	}
+	answers := make(chan answer, len(instances))
+	asked := 0
+	for _, i := range instances {
+		if i.ID == except {
+			continue
+		}
+		asked++
+		go func() {
+			condition, err := h.inspect(i)
+			answers <- answer{i.ID, condition, err}
+		}()
+	}
+	conditions := make(map[proxy.InstanceID]proxy.Condition, asked)
+	for range asked {
+		if a := <-answers; a.err == nil {
+			conditions[a.id] = a.condition
+		} else {
+			h.Log.Info().Err(a.err).Str("instance", string(a.id)).Msg("instance was not inspected")
+		}
+	}
+	return conditions
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"hash/maphash"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/auburnyoke/auburnyoke/internal/timing"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/dispatch"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
+)
+
+// Intervals of a host's periodic work.
+const (
+	// tickTime is how often waiting operations, replacements and reports are
+	// looked at.
+	tickTime = 50 * time.Millisecond
+	// sampleAge is the age at which a group without traffic is asked for a
+	// position. It is well below the ages that routes accept.
+	sampleAge = 600 * time.Millisecond
+	// spareConnections is how many connections to an instance a host may open
+	// above its equal part, since hosts rarely need all theirs at once.
+	spareConnections = 1
+)
+
+// Client is a client connection before its session begins.
+type Client interface {
+	proxy.Caller
+	Startup() (database, key string, err error)
+	Accept() error
+	Reject(*proxy.Failure) error
+}
+
+// Decoders decode the objects that others write to the store.
+type Decoders struct {
+	ConfigurationKind proxy.Kind
+	InstanceKind      proxy.Kind
+	Configuration     func(spec []byte) (*directory.Configuration, error)
+	Instance          func(name string, spec []byte) (directory.Instance, error)
+	Condition         func(row string) (proxy.Condition, error)
+}
+
+// Host is an entry host. Its exported fields are set before Run.
+type Host struct {
+	Settings Settings
+	Log      zerolog.Logger
+	Clock    proxy.Clock
+	Store    proxy.Records
+	Promoter proxy.Promoter
+	Dialer   proxy.Dialer
+	Decode   Decoders
+	// Client wraps an accepted connection.
+	Client  func(net.Conn) Client
+	Metrics *Metrics
+
+	beliefs    *beliefs
+	table      *dispatch.Table
+	allowances *allowance.Table
+
+	incarnation proxy.Incarnation
+	// round, reported and last belong to runMembers.
+	round    uint64
+	reported proxy.Version
+	last     Report
+	// joinedAt is guarded by the lock of the beliefs.
+	joinedAt proxy.Instant
+	// known reports that an entry of this host existed at its start, so that the
+	// other hosts count it already.
+	known    atomic.Bool
+	sessions atomic.Uint64
+	stopping atomic.Bool
+	active   sync.WaitGroup
+	open     sessionSet
+	// budget and seed limit the log; see note.
+	budget budget
+	seed   maphash.Seed
+}
+
+// Run serves until ctx ends and then stops gracefully within the grace time.
+func (h *Host) Run(ctx context.Context) error {
+	h.beliefs = newBeliefs()
+	h.table = &dispatch.Table{Zone: h.Settings.Zone}
+	h.allowances = &allowance.Table{}
+	h.seed = maphash.MakeSeed()
+	h.open.sessions = make(map[*session]net.Conn)
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return fmt.Errorf("incarnation: %w", err)
+	}
+	h.incarnation = incarnation
+	var listening net.ListenConfig
+	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	stopReady, err := h.serveReady(ctx)
+	if err != nil {
+		_ = listener.Close()
+		return fmt.Errorf("listen for readiness: %w", err)
+	}
+	defer stopReady()
+	h.Log.Info().Str("listen", h.Settings.Listen).Uint64("incarnation", uint64(incarnation)).Msg("host started")
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	for _, run := range []func(context.Context){
+		h.runConfiguration, h.runTenures, h.runInstances, h.runMembers, h.runTicks, h.runConductor,
+	} {
+		go run(work)
+	}
+	go h.accept(listener)
+	<-ctx.Done()
+	h.stop(listener)
+	return nil
+}
+
+func newIncarnation() (proxy.Incarnation, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, fmt.Errorf("draw random number: %w", err)
+	}
+	return proxy.Incarnation(binary.BigEndian.Uint64(b[:])>>1 + 1), nil
+}
+
+func (h *Host) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if h.stopping.Load() {
+				return
+			}
+			h.Log.Warn().Err(err).Msg("client connection was not accepted")
+			time.Sleep(tickTime)
+			continue
+		}
+		h.active.Add(1)
+		go func() {
+			defer h.active.Done()
+			h.serveClient(conn)
+		}()
+	}
+}
+
+// runTicks does the periodic work that is not tied to one store object.
+func (h *Host) runTicks(ctx context.Context) {
+	for timing.Sleep(ctx, tickTime) {
+		now := h.Clock.Now()
+		h.table.Serve(now)
+		closeAll(h.table.Trim(now))
+		h.refreshPositions(now)
+		h.expireInstances(now)
+		h.acceptReplacements(now)
+	}
+}
+
+// refreshPositions asks primaries without recent traffic for their position,
+// with a statement that takes no slot.
+func (h *Host) refreshPositions(now proxy.Instant) {
+	for group, leader := range h.beliefs.stale(now, sampleAge) {
+		c := h.table.Idle(now, leader)
+		if c == nil {
+			continue
+		}
+		go h.samplePosition(group, c)
+	}
+}
+
+func (h *Host) samplePosition(group proxy.GroupID, c *dispatch.Connection) {
+	sent := h.Clock.Now()
+	answers, err := c.Link.Exchange(probeTimeout, proxy.Order{Statement: proxy.Statement{Verb: proxy.Reset}})
+	if err != nil {
+		h.broken(c, err)
+		return
+	}
+	c.Owner, c.Values, c.Prepared = 0, nil, nil
+	h.beliefs.record(sent, group, c.Instance, answers[0].Position)
+	closeAll(h.table.Return(h.Clock.Now(), c))
+}
+
+func closeAll(links []proxy.Connection) {
+	for _, link := range links {
+		link.Close()
+	}
+}
+
+// reconfigure passes what is believed of configuration, instances and hosts to
+// the tables.
+func (h *Host) reconfigure() {
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	hosts := max(len(b.members), 1)
+	part := 1 / float64(hosts)
+	if !h.countedLocked(now) {
+		part = 0
+	}
+	configuration := b.configuration
+	var members []dispatch.Member
+	for _, i := range b.instances {
+		if configuration == nil {
+			break
+		}
+		group, ok := configuration.Groups[i.Group]
+		if !ok || i.retired {
+			continue
+		}
+		share := group.Connections/hosts + spareConnections
+		members = append(members, dispatch.Member{Instance: i.Instance, Share: share})
+	}
+	leaders := make(map[proxy.GroupID]proxy.InstanceID, len(b.tenures))
+	for id, t := range b.tenures {
+		leaders[id] = ""
+		if t.record.Phase == succession.Settled {
+			leaders[id] = t.record.Primary
+		}
+	}
+	b.mu.Unlock()
+	closeAll(h.table.Update(now, members))
+	for id, leader := range leaders {
+		h.table.Lead(now, id, leader)
+	}
+	if configuration != nil {
+		h.allowances.Configure(now, configuration.Accounts, part)
+	}
+}
+
+// countedLocked reports whether all other hosts count this one, so that it may
+// use its part of rates. The caller holds the lock of the beliefs.
+func (h *Host) countedLocked(now proxy.Instant) bool {
+	if h.joinedAt == 0 {
+		return false
+	}
+	return h.known.Load() || now.Sub(h.joinedAt) > joinTime
+}
+
+// ready reports whether the host can serve clients.
+func (h *Host) ready() bool {
+	if h.stopping.Load() {
+		return false
+	}
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := h.Settings.Withdrawal * 3 / 5
+	return b.configuration != nil && h.countedLocked(now) && now.Sub(b.configured) < limit && len(b.instances) > 0
+}
--- /dev/null
+++ b/internal/entry/log.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"hash/maphash"
+	"io"
+	"sync/atomic"
+	"time"
+
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Bounds of the log.
+const (
+	// logBuffer is the number of lines that may wait for the output.
+	logBuffer = 512
+	// logBudget is the number of lines a second for failed requests.
+	logBudget = 50
+	// sampleRate is how many successful operations there are for one that is logged.
+	sampleRate = 256
+)
+
+// Output writes log lines without ever blocking the writer: lines that find the
+// buffer full are dropped and counted.
+type Output struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	done    chan struct{}
+}
+
+// NewOutput returns an output that writes to w, and a function that writes what
+// is waiting, for at most a tenth of a second.
+func NewOutput(w io.Writer) (*Output, func()) {
+	o := &Output{lines: make(chan []byte, logBuffer), done: make(chan struct{})}
+	go o.run(w)
+	return o, func() {
+		close(o.lines)
+		select {
+		case <-o.done:
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (o *Output) run(w io.Writer) {
+	defer close(o.done)
+	for line := range o.lines {
+		// There is nowhere to report that the log cannot be written.
+		_, _ = w.Write(line)
+	}
+}
+
+// Write implements io.Writer.
+func (o *Output) Write(line []byte) (int, error) {
+	copied := append([]byte(nil), line...)
+	select {
+	case o.lines <- copied:
+	default:
+		o.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (o *Output) Dropped() uint64 { return o.dropped.Load() }
+
+// budget limits the lines about failed requests.
+type budget struct {
+	second atomic.Int64
+	used   atomic.Int64
+}
+
+func (b *budget) take(now proxy.Instant) bool {
+	second := int64(now) / int64(time.Second)
+	if b.second.Swap(second) != second {
+		b.used.Store(0)
+	}
+	return b.used.Add(1) <= logBudget
+}
+
+// note counts an answered statement and logs it if it failed or is sampled.
+func (h *Host) note(s *session, st proxy.Statement, answer proxy.Answer, arrived proxy.Instant) {
+	now := h.Clock.Now()
+	h.Metrics.answered(answer, now.Sub(arrived))
+	if answer.Failure == nil {
+		if st.ID == "" || maphash.String(h.seed, string(st.ID))%sampleRate != 0 {
+			return
+		}
+	} else if !h.budget.take(now) {
+		h.Metrics.unlogged.Inc(1)
+		return
+	}
+	c, configured := h.beliefs.current()
+	event := h.Log.Info()
+	event = event.Str("request", string(st.ID)).Uint64("session", s.id).Str("verb", st.Verb.String()).
+		Str("database", s.database).Dur("took", now.Sub(arrived)).Dur("proof", now.Sub(configured))
+	if c != nil {
+		event = event.Uint64("revision", uint64(c.Revision))
+	}
+	if answer.Failure != nil {
+		event = event.Str("code", answer.Failure.Code.String()).Str("text", answer.Failure.Text).
+			Dur("retry", answer.Failure.RetryAfter)
+	}
+	event.Msg("request answered")
+}
+
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// Settings are the settings of a host.
+type Settings struct {
+	Host proxy.HostID
+	Zone proxy.Zone
+	// Listen is where clients connect, Ready where the balancer asks for
+	// readiness; both are address and port.
+	Listen string
+	Ready  string
+	// Store and Orders are the addresses of the platform's store and of the API
+	// that replaces primaries.
+	Store  string
+	Orders string
+	// Memory is the limit of the process in bytes, zero for none.
+	Memory int64
+	// Descriptors is the limit of open sockets, zero for none.
+	Descriptors int
+	// Heartbeat is the interval at which instances renew their entries.
+	Heartbeat time.Duration
+	// Withdrawal is the time within which a withdrawn key stops working.
+	Withdrawal time.Duration
+	// Apply is the time within which a configuration is in force.
+	Apply time.Duration
+	// Drain is how long a leaving instance may be used.
+	Drain time.Duration
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace time.Duration
+}
+
+// Validate reports the first setting that is missing or out of range.
+func (s Settings) Validate() error {
+	if s.Host == "" {
+		return eris.New("name of the host is empty")
+	}
+	for name, address := range map[string]string{
+		"listen": s.Listen, "ready": s.Ready, "store": s.Store, "orders": s.Orders,
+	} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if s.Withdrawal < time.Second {
+		return eris.Errorf("withdrawal %v: want at least 1s", s.Withdrawal)
+	}
+	if s.Grace <= 0 || s.Drain <= 0 || s.Memory < 0 || s.Descriptors < 0 {
+		return eris.New("grace and drain must be positive, memory and descriptors not negative")
+	}
+	return nil
+}
