Order one promotion at a time until its effect is known

A primary that restarted under a new id led the old term and was recorded as successor while an earlier promotion of another replica was still on its way. A suspicion that nobody checked again then started a second replacement.

Ruled out: a host that used the old primary after it had accepted the replacement (every acceptance precedes the order in the log).

Conclusion: an order counts as pending until its instance leads the newest term or PromotionTime has passed; suspected primaries are probed.

--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -210,6 +210,25 @@
 	}
 }
 
+// suspected returns the suspected primaries and forgets other suspects, which
+// nobody votes on.
+func (b *beliefs) suspected() []proxy.InstanceID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []proxy.InstanceID
+	for _, t := range b.tenures {
+		if b.suspects[t.record.Primary] != 0 {
+			found = append(found, t.record.Primary)
+		}
+	}
+	for id := range b.suspects {
+		if !slices.Contains(found, id) {
+			delete(b.suspects, id)
+		}
+	}
+	return found
+}
+
 // trust records that an instance has answered.
 func (b *beliefs) trust(id proxy.InstanceID) {
 	b.mu.Lock()
--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -211,6 +211,12 @@
 	began, accepted proxy.Instant
 	// continued reports that an earlier attempt may have sent promote calls.
 	continued bool
+	// ordered is the instance for which a promote call was sent first at
+	// orderedAt; answered tells whether the platform has accepted it. The
+	// platform has rejected the promotion of rejected.
+	ordered, rejected proxy.InstanceID
+	orderedAt         proxy.Instant
+	answered          bool
 }
 
 // replace conducts the replacement of a primary.
@@ -220,6 +226,9 @@
 ) {
 	a := &attempt{host: h, group: id, record: record, began: h.Clock.Now(), continued: continued}
 	log := h.Log.With().Str("group", string(id)).Str("primary", string(record.Primary)).Logger()
+	if reason == succession.Unreachable && h.probe(record.Primary) {
+		return
+	}
 	log.Info().Str("reason", string(reason)).Uint64("version", uint64(version)).Msg("replacement begins")
 	written, err := h.Store.Write(ctx, tenureKind, string(id), record, version)
 	if err != nil {
@@ -244,27 +253,64 @@
 	}
 	final := a.stepDown()
 	for a.current() {
-		successor, ok := a.choose(final)
-		if !ok {
-			if !timing.Sleep(ctx, pollTime) {
-				return "", ctx.Err()
-			}
-			continue
+		instances := a.host.beliefs.groupInstances(a.group)
+		conditions := a.host.inspectAll(instances)
+		leading, ok := succession.Leading(conditions)
+		if ok && leading != a.record.Primary && (leading == a.ordered || !a.pending()) {
+			return leading, a.settle(ctx, leading)
 		}
-		if err := a.promote(ctx, successor); err != nil {
-			a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("promotion was not accepted")
-			if !timing.Sleep(ctx, pollTime) {
-				return "", ctx.Err()
-			}
-			continue
+		if target, ok := a.target(instances, conditions, final); ok {
+			a.order(ctx, target)
 		}
-		if a.awaitLead(ctx, successor) {
-			return successor, a.settle(ctx, successor)
+		if !timing.Sleep(ctx, pollTime) {
+			return "", ctx.Err()
 		}
 	}
 	return "", eris.New("time of the attempt is over")
 }
 
+// pending reports whether an order of this attempt may still take effect.
+func (a *attempt) pending() bool {
+	return a.ordered != "" && a.host.Clock.Now().Sub(a.orderedAt) < succession.PromotionTime
+}
+
+// target returns the instance to order now, or false while an order is pending
+// or no instance is fit. A reachable old primary's log must be complete on the
+// successor, for as long as that may take.
+func (a *attempt) target(
+	instances []directory.Instance, conditions map[proxy.InstanceID]proxy.Condition, final *proxy.Bookmark,
+) (proxy.InstanceID, bool) {
+	if a.pending() {
+		return a.ordered, !a.answered
+	}
+	successor, ok := succession.Successor(instances, conditions, a.record.Primary, a.rejected)
+	if !ok {
+		return "", false
+	}
+	late := a.host.Clock.Now().Sub(a.accepted) > succession.Lease+catchUpTime
+	if final != nil && conditions[successor].Received.Before(*final) && !late {
+		return "", false
+	}
+	return successor, true
+}
+
+// order sends a promote call and notes what is known of it.
+func (a *attempt) order(ctx context.Context, target proxy.InstanceID) {
+	first := a.ordered != target
+	sent, err := a.promote(ctx, target)
+	if sent && first {
+		a.ordered, a.orderedAt = target, a.host.Clock.Now()
+	}
+	a.answered = err == nil
+	if err == nil {
+		return
+	}
+	a.host.Log.Warn().Err(err).Str("group", string(a.group)).Bool("sent", sent).Msg("promotion was not accepted")
+	if errors.Is(err, proxy.ErrConflict) && first {
+		a.ordered, a.rejected = "", target
+	}
+}
+
 // current reports whether the attempt may still act.
 func (a *attempt) current() bool {
 	now := a.host.Clock.Now()
@@ -333,70 +379,31 @@
 	return &condition.Received
 }
 
-// choose returns the successor. A reachable old primary's log must be complete
-// on it, for as long as that may take.
-func (a *attempt) choose(final *proxy.Bookmark) (proxy.InstanceID, bool) {
-	instances := a.host.beliefs.groupInstances(a.group)
-	conditions := a.host.inspectAll(instances, a.record.Primary)
-	successor, ok := succession.Successor(instances, conditions, a.record.Primary)
-	if !ok {
-		return "", false
-	}
-	late := a.host.Clock.Now().Sub(a.accepted) > succession.Lease+catchUpTime
-	if final != nil && conditions[successor].Received.Before(*final) && !late {
-		return "", false
-	}
-	return successor, true
-}
-
-// promote orders the promotion under the attempt's fence.
-func (a *attempt) promote(ctx context.Context, successor proxy.InstanceID) error {
+// promote orders the promotion under the attempt's fence and reports whether a
+// call was sent.
+func (a *attempt) promote(ctx context.Context, successor proxy.InstanceID) (sent bool, err error) {
 	read := a.host.Clock.Now()
 	listing, err := a.host.Store.List(ctx, tenureKind)
 	if err != nil {
-		return fmt.Errorf("read record before the order: %w", err)
+		return false, fmt.Errorf("read record before the order: %w", err)
 	}
 	for _, record := range listing.Records {
 		if record.Name == string(a.group) && record.Version != a.version {
-			return errLostAttempt
+			return false, errLostAttempt
 		}
 	}
 	if !a.current() || a.host.Clock.Now().Sub(read) > succession.OrderTime {
-		return errLostAttempt
+		return false, errLostAttempt
 	}
 	fence := uint64(a.version)
 	a.host.Log.Info().Str("group", string(a.group)).Str("successor", string(successor)).Uint64("fence", fence).
 		Msg("promotion ordered")
-	err = a.host.Promoter.Promote(ctx, a.group, successor, a.host.Settings.Host, fence)
-	if err != nil {
-		return fmt.Errorf("order promotion: %w", err)
-	}
-	return nil
-}
-
-// awaitLead waits until the successor leads.
-func (a *attempt) awaitLead(ctx context.Context, successor proxy.InstanceID) bool {
-	until := a.host.Clock.Now().Add(leadTime)
-	for a.current() && a.host.Clock.Now() < until {
-		for _, i := range a.host.beliefs.groupInstances(a.group) {
-			if i.ID != successor {
-				continue
-			}
-			if condition, err := a.host.inspect(i); err == nil && condition.Primary {
-				return true
-			}
-		}
-		if !timing.Sleep(ctx, pollTime) {
-			return false
-		}
+	if err := a.host.Promoter.Promote(ctx, a.group, successor, a.host.Settings.Host, fence); err != nil {
+		return true, fmt.Errorf("order promotion: %w", err)
 	}
-	return false
+	return true, nil
 }
 
-// leadTime is how long a promoted instance may take to lead: several times the
-// platform's usual second.
-const leadTime = 3 * time.Second
-
 // settle writes the new primary into the record. A lost answer is resolved by
 // the watch of the records.
 func (a *attempt) settle(ctx context.Context, successor proxy.InstanceID) error {
@@ -422,7 +429,6 @@
 	return errLostAttempt
 }
 
-
 // inspect asks an instance for its condition.
 func (h *Host) inspect(i directory.Instance) (proxy.Condition, error) {
 	return h.ask(i, proxy.Statement{Verb: proxy.Inspect})
@@ -454,6 +460,34 @@
 	return condition, nil
 }
 
+// probe asks an instance for its condition, notes the result and reports
+// whether it answered.
+func (h *Host) probe(id proxy.InstanceID) bool {
+	b := h.beliefs
+	b.mu.Lock()
+	i, ok := b.instances[id]
+	b.mu.Unlock()
+	if !ok {
+		return false
+	}
+	if _, err := h.inspect(i.Instance); err != nil {
+		b.suspect(h.Clock.Now(), id)
+		return false
+	}
+	b.trust(id)
+	return true
+}
+
+// probeSuspects asks the suspected primaries again, so that a suspicion does not
+// outlast its cause.
+func (h *Host) probeSuspects(ctx context.Context) {
+	for timing.Sleep(ctx, suspectTime/2) {
+		for _, id := range h.beliefs.suspected() {
+			h.probe(id)
+		}
+	}
+}
+
 // anyAccount returns an account under which the host opens its own connections.
 func (h *Host) anyAccount() proxy.AccountID {
 	c, _ := h.beliefs.current()
@@ -469,27 +503,22 @@
 	return lowest
 }
 
-// inspectAll asks all instances but one at the same time.
-func (h *Host) inspectAll(instances []directory.Instance, except proxy.InstanceID) map[proxy.InstanceID]proxy.Condition {
+// inspectAll asks all instances at the same time.
+func (h *Host) inspectAll(instances []directory.Instance) map[proxy.InstanceID]proxy.Condition {
 	type answer struct {
 		id        proxy.InstanceID
 		condition proxy.Condition
 		err       error
 	}
 	answers := make(chan answer, len(instances))
-	asked := 0
 	for _, i := range instances {
-		if i.ID == except {
-			continue
-		}
-		asked++
 		go func() {
 			condition, err := h.inspect(i)
 			answers <- answer{i.ID, condition, err}
 		}()
 	}
-	conditions := make(map[proxy.InstanceID]proxy.Condition, asked)
-	for range asked {
+	conditions := make(map[proxy.InstanceID]proxy.Condition, len(instances))
+	for range instances {
 		if a := <-answers; a.err == nil {
 			conditions[a.id] = a.condition
 		} else {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -114,7 +114,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	for _, run := range []func(context.Context){
-		h.runConfiguration, h.runTenures, h.runInstances, h.runMembers, h.runTicks, h.runConductor,
+		h.runConfiguration, h.runTenures, h.runInstances, h.runMembers, h.runTicks, h.runConductor, h.probeSuspects,
 	} {
 		go run(work)
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -103,4 +102,3 @@
 	}
 	event.Msg("request answered")
 }
-
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -192,4 +192,3 @@
 	c.Link.Close()
 	h.table.Discard(h.Clock.Now(), c, dispatch.Unneeded)
 }
-
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -194,6 +194,9 @@
 		}
 	}
 	b.tenures[id] = t
+	if old != nil && old.record.Primary != r.Primary {
+		delete(b.suspects, r.Primary)
+	}
 	h.Log.Info().Str("group", string(id)).Str("primary", string(r.Primary)).Str("phase", string(r.Phase)).
 		Str("conductor", string(r.Host)).Bool("planned", r.Planned).Uint64("version", uint64(version)).
 		Msg("leadership changed")
--- a/pkg/proxy/succession/succession.go
+++ b/pkg/proxy/succession/succession.go
@@ -11,6 +11,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -45,6 +46,9 @@
 	// absenceTime is how long an entry may be missing: entries are back within
 	// about two seconds of the store's return.
 	absenceTime = 2500 * time.Millisecond
+	// PromotionTime is how long a promotion may take to be seen after its order.
+	// Until then no other instance is ordered, since both could become primary.
+	PromotionTime = 5 * time.Second
 	// demotedTime is how long a primary may report another role, since reports
 	// and the record change one after the other.
 	demotedTime = 2 * time.Second
@@ -138,37 +142,57 @@
 	return confirmed || since > Lease+leaseMargin
 }
 
-// Successor returns the instance with the longest log among the replicas that
-// answered. Those that are leaving are taken only where there is no other. It
-// returns false where there is none.
-func Successor(instances []directory.Instance, conditions map[proxy.InstanceID]proxy.Condition, old proxy.InstanceID) (proxy.InstanceID, bool) {
+// Leading returns the instance that leads the newest term that any instance
+// knows. A primary of an older term does not count: it has been replaced and
+// does not know it yet.
+func Leading(conditions map[proxy.InstanceID]proxy.Condition) (proxy.InstanceID, bool) {
+	var newest proxy.Term
+	for _, c := range conditions {
+		newest = max(newest, c.Term)
+	}
+	for id, c := range conditions {
+		if c.Primary && c.Term == newest {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// Successor returns the instance with the longest log among those that answered
+// and are not excluded. Those that are leaving are taken only where there is no
+// other. It returns false where there is none.
+func Successor(
+	instances []directory.Instance, conditions map[proxy.InstanceID]proxy.Condition, excluded ...proxy.InstanceID,
+) (proxy.InstanceID, bool) {
 	candidates := make([]directory.Instance, 0, len(instances))
 	for _, i := range instances {
-		if _, ok := conditions[i.ID]; ok && i.ID != old {
+		if _, ok := conditions[i.ID]; ok && !slices.Contains(excluded, i.ID) {
 			candidates = append(candidates, i)
 		}
 	}
 	if len(candidates) == 0 {
 		return "", false
 	}
-	best := slices.MinFunc(candidates, func(a, b directory.Instance) int {
-		if a.Leaving != b.Leaving {
-			if a.Leaving {
-				return 1
-			}
-			return -1
-		}
-		x, y := conditions[a.ID].Received, conditions[b.ID].Received
-		switch {
-		case y.Before(x):
-			return -1
-		case x.Before(y):
-			return 1
-		case a.ID < b.ID:
+	return slices.MinFunc(candidates, func(a, b directory.Instance) int {
+		return compareCandidates(a, b, conditions)
+	}).ID, true
+}
+
+// compareCandidates orders the better candidate first.
+func compareCandidates(a, b directory.Instance, conditions map[proxy.InstanceID]proxy.Condition) int {
+	if a.Leaving != b.Leaving {
+		if b.Leaving {
 			return -1
-		default:
-			return 1
 		}
-	})
-	return best.ID, true
+		return 1
+	}
+	x, y := conditions[a.ID].Received, conditions[b.ID].Received
+	switch {
+	case y.Before(x):
+		return -1
+	case x.Before(y):
+		return 1
+	default:
+		return strings.Compare(string(a.ID), string(b.ID))
+	}
 }
