--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -31,7 +31,7 @@
 	sampleAge = 600 * time.Millisecond
 	// spareConnections is how many connections to an instance a host may open
 	// above its equal part, since hosts rarely need all theirs at once.
-	spareConnections = 1
+	spareConnections = 0
 )
 
 // Client is a client connection before its session begins.
