Lend allowance between hosts where an account's demand is uneven

Ruled out: demand-weighted parts in one store object, which every host would rewrite; the limit package of the PostgreSQL path, whose slots stay with a dead process for 15 minutes.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -6,13 +6,16 @@
 	"encoding/binary"
 	"fmt"
 	"hash/maphash"
+	randv2 "math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
@@ -29,9 +32,6 @@
 	// sampleAge is the age at which a group without traffic is asked for a
 	// position. It is well below the ages that routes accept.
 	sampleAge = 600 * time.Millisecond
-	// spareConnections is how many connections to an instance a host may open
-	// above its equal part, since hosts rarely need all theirs at once.
-	spareConnections = 0
 )
 
 // Client is a client connection before its session begins.
@@ -67,6 +67,7 @@
 	beliefs    *beliefs
 	table      *dispatch.Table
 	allowances *allowance.Table
+	lender     *peering.Lender
 
 	incarnation proxy.Incarnation
 	// round, reported and last belong to runMembers.
@@ -92,6 +93,9 @@
 	h.beliefs = newBeliefs()
 	h.table = &dispatch.Table{Zone: h.Settings.Zone}
 	h.allowances = &allowance.Table{}
+	h.lender = &peering.Lender{
+		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
+	}
 	h.seed = maphash.MakeSeed()
 	h.open.sessions = make(map[*session]net.Conn)
 	incarnation, err := newIncarnation()
@@ -99,6 +103,12 @@
 		return fmt.Errorf("incarnation: %w", err)
 	}
 	h.incarnation = incarnation
+	stopLoans, err := h.lender.Listen(h.Settings.Peer)
+	if err != nil {
+		return fmt.Errorf("loans: %w", err)
+	}
+	defer stopLoans()
+	go h.lender.Run()
 	var listening net.ListenConfig
 	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Listen)
 	if err != nil {
@@ -160,6 +170,7 @@
 		h.refreshPositions(now)
 		h.expireInstances(now)
 		h.acceptReplacements(now)
+		h.lender.Borrow()
 	}
 }
 
@@ -204,6 +215,7 @@
 	if !h.countedLocked(now) {
 		part = 0
 	}
+	peers := b.peers(h.Settings.Host)
 	configuration := b.configuration
 	var members []dispatch.Member
 	for _, i := range b.instances {
@@ -214,7 +226,7 @@
 		if !ok || i.retired {
 			continue
 		}
-		share := group.Connections/hosts + spareConnections
+		share := group.Connections / hosts
 		members = append(members, dispatch.Member{Instance: i.Instance, Share: share})
 	}
 	leaders := make(map[proxy.GroupID]proxy.InstanceID, len(b.tenures))
@@ -226,6 +238,7 @@
 	}
 	b.mu.Unlock()
 	closeAll(h.table.Update(now, members))
+	h.lender.SetPeers(peers)
 	for id, leader := range leaders {
 		h.table.Lead(now, id, leader)
 	}
@@ -234,6 +247,17 @@
 	}
 }
 
+// peers returns the other hosts that can be asked for loans.
+func (b *beliefs) peers(self proxy.HostID) []peering.Peer {
+	var peers []peering.Peer
+	for id, m := range b.members {
+		if address, err := netip.ParseAddrPort(m.report.Address); err == nil && id != self {
+			peers = append(peers, peering.Peer{Host: id, Zone: m.report.Zone, Address: address})
+		}
+	}
+	return peers
+}
+
 // countedLocked reports whether all other hosts count this one, so that it may
 // use its part of rates. The caller holds the lock of the beliefs.
 func (h *Host) countedLocked(now proxy.Instant) bool {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -41,6 +41,9 @@
 	Incarnation proxy.Incarnation `json:"incarnation"`
 	// Round rises with each renewal.
 	Round uint64 `json:"round"`
+	// Address is where the host answers requests of other hosts.
+	Address string     `json:"address"`
+	Zone    proxy.Zone `json:"zone"`
 	// Accepted holds for each group the version of the record that replaces its
 	// primary, once the host no longer uses that primary.
 	Accepted map[proxy.GroupID]proxy.Version `json:"accepted,omitempty"`
@@ -85,7 +88,10 @@
 
 // report builds the host's entry.
 func (h *Host) report(now proxy.Instant) Report {
-	r := Report{Incarnation: h.incarnation, Round: h.round, Accepted: make(map[proxy.GroupID]proxy.Version)}
+	r := Report{
+		Incarnation: h.incarnation, Round: h.round, Address: h.Settings.Peer.String(), Zone: h.Settings.Zone,
+		Accepted: make(map[proxy.GroupID]proxy.Version),
+	}
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -269,7 +270,22 @@
 	if !ok {
 		return op, nil
 	}
-	return op, s.host.allowances.Admit(arrived, op.account)
+	return op, s.host.allow(arrived, op.account)
+}
+
+// loanTime is how long an operation waits for borrowed allowance: two round
+// trips between availability zones, which is well within latency goals.
+const loanTime = 25 * time.Millisecond
+
+// allow takes a token of an account's rate, borrowing from other hosts where
+// this one has none.
+func (h *Host) allow(now proxy.Instant, id proxy.AccountID) *proxy.Failure {
+	if h.allowances.Admit(now, id) == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loanTime)
+	defer cancel()
+	return h.lender.Await(ctx, func() *proxy.Failure { return h.allowances.Retry(h.Clock.Now(), id) })
 }
 
 // permit returns the configuration if it is proved to be recent enough for a
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -18,6 +18,8 @@
 	// readiness; both are address and port.
 	Listen string
 	Ready  string
+	// Peer is where other hosts send their requests, over UDP.
+	Peer netip.AddrPort
 	// Store and Orders are the addresses of the platform's store and of the API
 	// that replaces primaries.
 	Store  string
@@ -50,6 +52,9 @@
 			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
+	if !s.Peer.IsValid() {
+		return eris.New("peer: no address")
+	}
 	if s.Withdrawal < time.Second {
 		return eris.Errorf("withdrawal %v: want at least 1s", s.Withdrawal)
 	}
