Count a host at once whose entry outlived its restart

Cause: after all hosts were killed, each waited joinTime for the others to count it, though its entry had never left the store: 6 s without service.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -24,6 +24,8 @@
 	reportTime = 4 * time.Second
 	// joinTime is how long a new host waits for the others to count it.
 	joinTime = 5 * time.Second
+	// joinPause follows an attempt to join that did not succeed.
+	joinPause = 100 * time.Millisecond
 	// lostTime is how long an entry may remain unchanged until its host counts
 	// as lost. It exceeds the time of a restart.
 	lostTime = 15 * time.Second
@@ -71,13 +73,13 @@
 	next := h.Clock.Now()
 	for {
 		if now := h.Clock.Now(); now >= next || h.reportChanged(now) {
-			h.renewReport(ctx)
+			renewed := h.renewReport(ctx)
 			if now >= next {
 				h.countMembers(ctx)
 				next = now.Add(reportTime)
 			}
-			if h.reported == 0 || h.joined() == 0 {
-				next = now.Add(reportTime / 8)
+			if !renewed || h.joined() == 0 {
+				next = now.Add(joinPause)
 			}
 		}
 		if !timing.Sleep(ctx, tickTime) {
@@ -123,7 +125,8 @@
 	return false
 }
 
-func (h *Host) renewReport(ctx context.Context) {
+// renewReport writes the host's entry and reports whether that succeeded.
+func (h *Host) renewReport(ctx context.Context) bool {
 	h.round++
 	r := h.report(h.Clock.Now())
 	record, err := h.Store.Write(ctx, memberKind, string(h.Settings.Host), r, h.reported)
@@ -136,6 +139,7 @@
 	case errors.Is(err, proxy.ErrConflict):
 		// An earlier process of this host, or an earlier call, has written it.
 		h.reported = record.Version
+		h.known.Store(true)
 		if record.Version == 0 {
 			h.adopt(ctx)
 		}
@@ -144,6 +148,7 @@
 	default:
 		h.Log.Warn().Err(err).Msg("host entry was not renewed")
 	}
+	return err == nil
 }
 
 // adopt finds the version of the host's own entry.
@@ -156,7 +161,6 @@
 	for _, record := range listing.Records {
 		if record.Name == string(h.Settings.Host) {
 			h.reported = record.Version
-			h.known.Store(true)
 		}
 	}
 }
