Relay store objects and their proofs within a zone; ask hosts by datagram

Ruled out: proofs by watches of 1 ms, which a store that holds back events for a second would answer falsely; heartbeats in the store.

--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -27,6 +27,8 @@
 	working int
 	// accepted reports that the host uses the old primary no more.
 	accepted bool
+	// conducted is when the conductor last said that it is at work.
+	conducted proxy.Instant
 }
 
 // listed is an instance's entry with the times that decisions need.
@@ -51,9 +53,13 @@
 	tenures         map[proxy.GroupID]*tenure
 	instances       map[proxy.InstanceID]*listed
 	histories       map[proxy.GroupID]*freshness.History
-	// members are the hosts registered in the store, as of counted.
+	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
-	counted proxy.Instant
+	// registered is when the host's own entry was known to be in the store, and
+	// counted from when on the others count it; zero before.
+	registered, counted proxy.Instant
+	// votes are what other hosts said of primaries that this one suspects.
+	votes map[proxy.InstanceID]vote
 	// suspects are primaries that this host cannot reach, since the instant.
 	suspects map[proxy.InstanceID]proxy.Instant
 }
@@ -64,6 +70,7 @@
 		instances: make(map[proxy.InstanceID]*listed),
 		histories: make(map[proxy.GroupID]*freshness.History),
 		members:   make(map[proxy.HostID]*member),
+		votes:     make(map[proxy.InstanceID]vote),
 		suspects:  make(map[proxy.InstanceID]proxy.Instant),
 	}
 }
@@ -88,6 +95,10 @@
 	if t == nil || t.record.Phase != succession.Settled || now >= b.led.Add(succession.Lease) {
 		return "", 0, false
 	}
+	if b.registered == 0 || b.led < b.registered {
+		// A conductor that listed the hosts before does not wait for this one.
+		return "", 0, false
+	}
 	return t.record.Primary, t.version, true
 }
 
--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
@@ -23,6 +24,8 @@
 	handoverTime = 400 * time.Millisecond
 	// rankTime staggers the hosts, so that usually one of them acts.
 	rankTime = 100 * time.Millisecond
+	// maxRank bounds the delay of the last host.
+	maxRank = 12
 	// pollTime is the pause between two questions while something is awaited.
 	pollTime = 40 * time.Millisecond
 	// probeTimeout limits a question to an instance.
@@ -100,14 +103,14 @@
 		return nil
 	}
 	t := b.tenures[id]
-	rank := time.Duration(h.rankLocked(now)) * rankTime
+	rank := time.Duration(h.rankLocked()) * rankTime
 	if t == nil {
-		if primary := b.registeredPrimary(id); primary != "" && now.Sub(h.joinedAt) > rank && h.joinedAt != 0 {
+		if primary := b.registeredPrimary(id); primary != "" && b.registered != 0 && now.Sub(b.registered) > rank {
 			return func(ctx context.Context) { h.found(ctx, id, primary) }
 		}
 		return nil
 	}
-	view := b.view(now, id, t)
+	view := b.view(now, t)
 	view.Own = t.record.Host == h.Settings.Host
 	reason, due := succession.Decide(view)
 	if !due || now.Sub(t.seen) < rank || view.Held < rank {
@@ -124,19 +127,23 @@
 	return func(ctx context.Context) { h.replace(ctx, id, record, version, reason, continued) }
 }
 
+// conductorAge is how long a conductor counts as at work after it said so.
+const conductorAge = 2 * time.Second
+
 // storeSlack is how much older than two waits a proof may be while the store
 // counts as reachable.
 const storeSlack = time.Second
 
-// rankLocked returns the host's place among the live hosts.
-func (h *Host) rankLocked(now proxy.Instant) int {
+// rankLocked returns the host's place among the hosts that answer, up to
+// maxRank.
+func (h *Host) rankLocked() int {
 	rank := 0
 	for id, m := range h.beliefs.members {
-		if id < h.Settings.Host && now.Sub(m.changed) < liveTime {
+		if id < h.Settings.Host && m.silent == 0 {
 			rank++
 		}
 	}
-	return rank
+	return min(rank, maxRank)
 }
 
 // registeredPrimary returns the one registered instance of a group that calls
@@ -157,11 +164,9 @@
 
 // view gathers what the decision on a group's primary needs. The caller holds
 // the lock.
-func (b *beliefs) view(now proxy.Instant, id proxy.GroupID, t *tenure) succession.View {
+func (b *beliefs) view(now proxy.Instant, t *tenure) succession.View {
 	v := succession.View{Record: t.record, Held: now.Sub(t.seen)}
-	if conductor := b.members[t.record.Host]; conductor != nil {
-		v.Conducting = conductor.report.Accepted[id] == t.version
-	}
+	v.Conducting = t.conducted != 0 && now.Sub(t.conducted) < conductorAge
 	i := b.instances[t.record.Primary]
 	switch {
 	case i == nil:
@@ -174,14 +179,8 @@
 			v.Demoted = min(now.Sub(i.demoted), now.Sub(t.seen))
 		}
 	}
-	for _, m := range b.members {
-		if now.Sub(m.changed) > liveTime {
-			continue
-		}
-		v.Hosts++
-		if slices.Contains(m.report.Suspects, t.record.Primary) {
-			v.Suspecting++
-		}
+	if vote := b.votes[t.record.Primary]; now.Sub(vote.at) < voteAge {
+		v.Hosts, v.Suspecting = vote.hosts, vote.suspecting
 	}
 	return v
 }
@@ -209,6 +208,8 @@
 	// began is the instant before the record was written, accepted the instant
 	// after the store acknowledged it.
 	began, accepted proxy.Instant
+	// waiting are the hosts that have not confirmed; nil before they are listed.
+	waiting map[proxy.HostID]peering.Peer
 	// continued reports that an earlier attempt may have sent promote calls.
 	continued bool
 	// ordered is the instance for which a promote call was sent first at
@@ -336,20 +337,32 @@
 	return errLostAttempt
 }
 
-// confirmed reports whether every registered host has accepted the replacement.
+// confirmed asks the hosts that were registered after the store acknowledged
+// the replacement, and reports whether all have accepted it. Hosts that register
+// later read the record first.
 func (a *attempt) confirmed(ctx context.Context) bool {
-	listing, err := a.host.Store.List(ctx, memberKind)
-	if err != nil {
-		a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("hosts' confirmations were not read")
-		return false
-	}
-	for _, record := range listing.Records {
-		var r Report
-		if err := json.Unmarshal(record.Spec, &r); err != nil || r.Accepted[a.group] < a.version {
+	if a.waiting == nil {
+		listing, err := a.host.Store.List(ctx, memberKind)
+		if err != nil {
+			a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("hosts were not listed")
 			return false
 		}
+		a.waiting = make(map[proxy.HostID]peering.Peer, len(listing.Records))
+		for _, record := range listing.Records {
+			r, err := decodeReport(record)
+			if err != nil {
+				a.host.Log.Warn().Err(err).Str("entry", record.Name).Msg("host entry is not readable")
+			}
+			id := proxy.HostID(record.Name)
+			a.waiting[id], _ = (&member{report: r}).peer(id)
+		}
+	}
+	for _, s := range a.host.lender.Ask(ctx, slices.Collect(maps.Values(a.waiting)), voteTimeout) {
+		if slices.Contains(s.Accepted, peering.Acceptance{Group: a.group, Version: a.version}) {
+			delete(a.waiting, s.Host)
+		}
 	}
-	return len(listing.Records) > 0
+	return len(a.waiting) == 0
 }
 
 // stepDown makes the old primary a replica where it can be reached and returns
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -8,7 +8,7 @@
 	"hash/maphash"
 	randv2 "math/rand/v2"
 	"net"
-	"net/netip"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,15 +70,14 @@
 	lender     *peering.Lender
 
 	incarnation proxy.Incarnation
-	// round, reported and last belong to runMembers.
-	round    uint64
-	reported proxy.Version
-	last     Report
-	// joinedAt is guarded by the lock of the beliefs.
-	joinedAt proxy.Instant
-	// known reports that an entry of this host existed at its start, so that the
-	// other hosts count it already.
-	known    atomic.Bool
+	// mirrors are fixed by Run. distrusted is guarded by the lock of the beliefs:
+	// relays that failed, until the instant at which they are followed again.
+	mirrors    map[proxy.Kind]*mirror
+	distrusted map[proxy.HostID]proxy.Instant
+	relays     *http.Client
+	// inForce reports that the host's part of rates is in use; it is guarded by
+	// the lock of the beliefs.
+	inForce  bool
 	sessions atomic.Uint64
 	stopping atomic.Bool
 	active   sync.WaitGroup
@@ -103,6 +102,19 @@
 		return fmt.Errorf("incarnation: %w", err)
 	}
 	h.incarnation = incarnation
+	h.mirrors = make(map[proxy.Kind]*mirror)
+	for _, kind := range []proxy.Kind{h.Decode.ConfigurationKind, h.Decode.InstanceKind, tenureKind, memberKind} {
+		h.mirrors[kind] = newMirror()
+	}
+	h.distrusted = make(map[proxy.HostID]proxy.Instant)
+	h.relays = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len(h.mirrors), DisableCompression: true}}
+	defer h.relays.CloseIdleConnections()
+	stopRelay, err := h.serveRelay(ctx)
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	defer stopRelay()
+	h.lender.State = h.state
 	stopLoans, err := h.lender.Listen(h.Settings.Peer)
 	if err != nil {
 		return fmt.Errorf("loans: %w", err)
@@ -124,7 +136,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	for _, run := range []func(context.Context){
-		h.runConfiguration, h.runTenures, h.runInstances, h.runMembers, h.runTicks, h.runConductor, h.probeSuspects,
+		h.runMembers, h.runTicks, h.runConductor, h.probeSuspects, h.runVotes,
 	} {
 		go run(work)
 	}
@@ -171,6 +183,7 @@
 		h.expireInstances(now)
 		h.acceptReplacements(now)
 		h.lender.Borrow()
+		h.startPart(now)
 	}
 }
 
@@ -212,7 +225,8 @@
 	b.mu.Lock()
 	hosts := max(len(b.members), 1)
 	part := 1 / float64(hosts)
-	if !h.countedLocked(now) {
+	counted := h.countedLocked(now)
+	if !counted {
 		part = 0
 	}
 	peers := b.peers(h.Settings.Host)
@@ -236,6 +250,7 @@
 			leaders[id] = t.record.Primary
 		}
 	}
+	h.inForce = counted
 	b.mu.Unlock()
 	closeAll(h.table.Update(now, members))
 	h.lender.SetPeers(peers)
@@ -247,12 +262,22 @@
 	}
 }
 
+// startPart uses the host's part of rates as soon as the others count it.
+func (h *Host) startPart(now proxy.Instant) {
+	h.beliefs.mu.Lock()
+	due := h.countedLocked(now) && !h.inForce
+	h.beliefs.mu.Unlock()
+	if due {
+		h.reconfigure()
+	}
+}
+
 // peers returns the other hosts that can be asked for loans.
 func (b *beliefs) peers(self proxy.HostID) []peering.Peer {
 	var peers []peering.Peer
 	for id, m := range b.members {
-		if address, err := netip.ParseAddrPort(m.report.Address); err == nil && id != self {
-			peers = append(peers, peering.Peer{Host: id, Zone: m.report.Zone, Address: address})
+		if p, ok := m.peer(id); ok && id != self {
+			peers = append(peers, p)
 		}
 	}
 	return peers
@@ -261,10 +286,10 @@
 // countedLocked reports whether all other hosts count this one, so that it may
 // use its part of rates. The caller holds the lock of the beliefs.
 func (h *Host) countedLocked(now proxy.Instant) bool {
-	if h.joinedAt == 0 {
+	if h.beliefs.counted == 0 {
 		return false
 	}
-	return h.known.Load() || now.Sub(h.joinedAt) > joinTime
+	return now >= h.beliefs.counted
 }
 
 // ready reports whether the host can serve clients.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -5,11 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
@@ -19,233 +20,274 @@
 
 // Times of the membership.
 const (
-	// reportTime is the interval at which a host renews its entry and counts the
-	// others. A new host is counted by all within two intervals.
-	reportTime = 4 * time.Second
-	// joinTime is how long a new host waits for the others to count it.
+	// memberWait is the wait of the watch of hosts.
+	memberWait = 4 * time.Second
+	// joinTime is how long a new host waits for the others to count it: the time
+	// after which a host that learns of no change has stopped serving.
 	joinTime = 5 * time.Second
-	// joinPause follows an attempt to join that did not succeed.
+	// joinPause follows an attempt to register that did not succeed.
 	joinPause = 100 * time.Millisecond
-	// lostTime is how long an entry may remain unchanged until its host counts
-	// as lost. It exceeds the time of a restart.
-	lostTime = 15 * time.Second
-	// liveTime is how long an entry may remain unchanged while its host counts
-	// as live.
-	liveTime = 2*reportTime + time.Second
+	// checkTime is the interval at which a host asks one of the others whether it
+	// lives.
+	checkTime = time.Second
+	// checkTimeout limits such a question.
+	checkTimeout = 300 * time.Millisecond
+	// lostTime is how long a host must not answer until it counts as lost. It
+	// exceeds the time of a restart.
+	lostTime = 20 * time.Second
 	// suspectTime is how long a primary must be out of reach before a host
-	// reports it: two failed attempts to connect.
+	// suspects it: two failed attempts to connect.
 	suspectTime = 600 * time.Millisecond
 )
 
-// Report is a host's entry in the store.
+// Report is a host's entry in the store. It outlives restarts of the host.
 type Report struct {
-	// Incarnation is a random number drawn at start.
-	Incarnation proxy.Incarnation `json:"incarnation"`
-	// Round rises with each renewal.
-	Round uint64 `json:"round"`
-	// Address is where the host answers requests of other hosts.
+	// Address is where the host answers other hosts, over TCP and UDP.
 	Address string     `json:"address"`
 	Zone    proxy.Zone `json:"zone"`
-	// Accepted holds for each group the version of the record that replaces its
-	// primary, once the host no longer uses that primary.
-	Accepted map[proxy.GroupID]proxy.Version `json:"accepted,omitempty"`
-	// Suspects are primaries that the host cannot reach.
-	Suspects []proxy.InstanceID `json:"suspects,omitempty"`
 }
 
 // Validate checks an entry that was read from the store.
 func (r Report) Validate() error {
-	if r.Incarnation == 0 {
-		return eris.New("report without an incarnation")
+	if _, err := netip.ParseAddrPort(r.Address); err != nil {
+		return fmt.Errorf("address of a host: %w", err)
+	}
+	if r.Zone == "" {
+		return eris.New("host without an availability zone")
 	}
 	return nil
 }
 
-// member is another host's report with the time at which it last changed.
+// member is a registered host.
 type member struct {
 	report  Report
 	version proxy.Version
-	changed proxy.Instant
+	// silent is when the host first failed to answer; zero while it answers.
+	silent proxy.Instant
+}
+
+func (m *member) peer(id proxy.HostID) (peering.Peer, bool) {
+	address, err := netip.ParseAddrPort(m.report.Address)
+	return peering.Peer{Host: id, Zone: m.report.Zone, Address: address}, err == nil
 }
 
-// runMembers renews the host's own entry and counts the others.
+// runMembers registers the host and follows the list of hosts.
 func (h *Host) runMembers(ctx context.Context) {
-	next := h.Clock.Now()
-	for {
-		if now := h.Clock.Now(); now >= next || h.reportChanged(now) {
-			renewed := h.renewReport(ctx)
-			if now >= next {
-				h.countMembers(ctx)
-				next = now.Add(reportTime)
-			}
-			if !renewed || h.joined() == 0 {
-				next = now.Add(joinPause)
-			}
-		}
-		if !timing.Sleep(ctx, tickTime) {
+	for !h.register(ctx) {
+		if !timing.Sleep(ctx, joinPause) {
 			return
 		}
 	}
+	go h.runChecks(ctx)
+	for _, run := range []func(context.Context){h.runConfiguration, h.runTenures, h.runInstances} {
+		go run(ctx)
+	}
+	f := h.newFollower(memberKind, memberWait)
+	f.replace = h.replaceMembers
+	f.change = h.changeMembers
+	f.run(ctx)
+}
+
+// register writes the host's entry, unless an earlier process of this host has
+// left it, and reports whether it is there.
+func (h *Host) register(ctx context.Context) bool {
+	report := Report{Address: h.Settings.Peer.String(), Zone: h.Settings.Zone}
+	record, err := h.Store.Write(ctx, memberKind, string(h.Settings.Host), report, 0)
+	if errors.Is(err, proxy.ErrConflict) && record.Version != 0 {
+		if old, decoded := decodeReport(record); decoded != nil || old != report {
+			// The host has come back at another address.
+			if _, err := h.Store.Write(ctx, memberKind, record.Name, report, record.Version); err != nil {
+				h.Log.Warn().Err(err).Msg("address of the host was not registered")
+				return false
+			}
+		}
+	}
+	if err != nil && !errors.Is(err, proxy.ErrConflict) {
+		h.Log.Warn().Err(err).Msg("host was not registered")
+		return false
+	}
+	h.beliefs.mu.Lock()
+	defer h.beliefs.mu.Unlock()
+	h.beliefs.registered = h.Clock.Now()
+	// The other hosts count a host whose entry outlived its restart.
+	h.beliefs.counted = h.beliefs.registered
+	if err == nil {
+		h.beliefs.counted = h.beliefs.registered.Add(joinTime)
+	}
+	h.Log.Info().Bool("existed", err != nil).Msg("host registered")
+	return true
 }
 
-// report builds the host's entry.
-func (h *Host) report(now proxy.Instant) Report {
-	r := Report{
-		Incarnation: h.incarnation, Round: h.round, Address: h.Settings.Peer.String(), Zone: h.Settings.Zone,
-		Accepted: make(map[proxy.GroupID]proxy.Version),
+func (h *Host) replaceMembers(proof proxy.Instant, records []proxy.Record) {
+	present := make(map[proxy.HostID]bool, len(records))
+	for _, record := range records {
+		present[proxy.HostID(record.Name)] = true
 	}
 	b := h.beliefs
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, t := range b.tenures {
-		if t.record.Phase == succession.Replacing && t.accepted {
-			r.Accepted[id] = t.version
-		}
-	}
-	for id, since := range b.suspects {
-		if now.Sub(since) > suspectTime {
-			r.Suspects = append(r.Suspects, id)
+	removed := 0
+	for id := range b.members {
+		if !present[id] {
+			delete(b.members, id)
+			removed++
 		}
 	}
-	slices.Sort(r.Suspects)
-	return r
+	b.mu.Unlock()
+	h.applyMembers(proof, records, removed > 0)
+}
+
+func (h *Host) changeMembers(proof proxy.Instant, records []proxy.Record) {
+	h.applyMembers(proof, records, false)
 }
 
-// reportChanged reports whether the others have to learn something at once.
-func (h *Host) reportChanged(now proxy.Instant) bool {
-	r := h.report(now)
-	if !slices.Equal(r.Suspects, h.last.Suspects) {
-		return true
+func (h *Host) applyMembers(proof proxy.Instant, records []proxy.Record, changed bool) {
+	b := h.beliefs
+	b.mu.Lock()
+	for _, record := range records {
+		changed = h.applyMember(proxy.HostID(record.Name), record) || changed
 	}
-	for id, version := range r.Accepted {
-		if h.last.Accepted[id] != version {
-			return true
-		}
+	_, present := b.members[h.Settings.Host]
+	hosts := len(b.members)
+	b.mu.Unlock()
+	if changed {
+		h.Log.Info().Int("hosts", hosts).Msg("hosts changed")
+		h.reconfigure()
 	}
-	return false
-}
-
-// renewReport writes the host's entry and reports whether that succeeded.
-func (h *Host) renewReport(ctx context.Context) bool {
-	h.round++
-	r := h.report(h.Clock.Now())
-	record, err := h.Store.Write(ctx, memberKind, string(h.Settings.Host), r, h.reported)
-	switch {
-	case err == nil:
-		h.reported, h.last = record.Version, r
-		h.beliefs.mu.Lock()
-		h.register(h.Settings.Host, proxy.Record{Name: string(h.Settings.Host), Version: record.Version}, r)
-		h.beliefs.mu.Unlock()
-	case errors.Is(err, proxy.ErrConflict):
-		// An earlier process of this host, or an earlier call, has written it.
-		h.reported = record.Version
-		h.known.Store(true)
-		if record.Version == 0 {
-			h.adopt(ctx)
-		}
-	case errors.Is(err, proxy.ErrNotFound):
-		h.reported = 0
-	default:
-		h.Log.Warn().Err(err).Msg("host entry was not renewed")
+	if !present && b.led != 0 && proof > b.registered {
+		h.rejoin()
 	}
-	return err == nil
 }
 
-// adopt finds the version of the host's own entry.
-func (h *Host) adopt(ctx context.Context) {
-	listing, err := h.Store.List(ctx, memberKind)
+// applyMember notes one entry and reports whether the hosts have changed. The
+// caller holds the lock of the beliefs.
+func (h *Host) applyMember(id proxy.HostID, record proxy.Record) bool {
+	known := h.beliefs.members[id]
+	if record.Deleted {
+		delete(h.beliefs.members, id)
+		return known != nil
+	}
+	if known != nil && known.version >= record.Version {
+		return false
+	}
+	report, err := decodeReport(record)
 	if err != nil {
-		h.Log.Warn().Err(err).Msg("host entry was not read")
-		return
+		// The host counts all the same: it may use its part of rates.
+		h.Log.Warn().Err(err).Str("entry", record.Name).Msg("host entry is not readable")
 	}
-	for _, record := range listing.Records {
-		if record.Name == string(h.Settings.Host) {
-			h.reported = record.Version
+	h.beliefs.members[id] = &member{report: report, version: record.Version}
+	return true
+}
+
+// rejoin registers the host again after others have taken it for lost.
+func (h *Host) rejoin() {
+	h.Log.Warn().Msg("entry of this host was removed")
+	b := h.beliefs
+	b.mu.Lock()
+	b.registered, b.counted = 0, 0
+	b.mu.Unlock()
+	h.reconfigure()
+	ctx, cancel := context.WithTimeout(context.Background(), joinTime)
+	defer cancel()
+	for !h.register(ctx) {
+		if !timing.Sleep(ctx, joinPause) {
+			return
 		}
 	}
 }
 
-// countMembers lists the hosts and removes the entries of lost ones.
-func (h *Host) countMembers(ctx context.Context) {
-	sent := h.Clock.Now()
-	listing, err := h.Store.List(ctx, memberKind)
-	if err != nil {
-		h.Log.Warn().Err(err).Msg("hosts were not counted")
-		return
+func decodeReport(record proxy.Record) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(record.Spec, &r); err != nil {
+		return Report{}, fmt.Errorf("decode report: %w", err)
+	}
+	if err := r.Validate(); err != nil {
+		return Report{}, fmt.Errorf("report: %w", err)
 	}
-	for _, lost := range h.mergeMembers(sent, listing) {
-		if err := h.Store.Remove(ctx, memberKind, lost.Name, lost.Version); err != nil {
-			h.Log.Warn().Err(err).Str("lost", lost.Name).Msg("entry of a lost host was not removed")
+	return r, nil
+}
+
+// runChecks asks one host after the other whether it lives, and removes the
+// entries of lost ones.
+func (h *Host) runChecks(ctx context.Context) {
+	for timing.Sleep(ctx, checkTime) {
+		peer, ok := h.nextCheck()
+		if !ok {
 			continue
 		}
-		h.Log.Info().Str("lost", lost.Name).Msg("lost host removed")
+		answers := h.lender.Ask(ctx, []peering.Peer{peer}, checkTimeout)
+		if lost := h.noteCheck(peer.Host, len(answers) > 0); lost.Version != 0 {
+			h.removeMember(ctx, lost)
+		}
 	}
-	h.reconfigure()
 }
 
-// mergeMembers replaces the known hosts by the listing and returns the records
-// of lost ones.
-func (h *Host) mergeMembers(sent proxy.Instant, listing proxy.Listing) []proxy.Record {
+// nextCheck returns a host that did not answer, or any other.
+func (h *Host) nextCheck() (peering.Peer, bool) {
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := h.Clock.Now()
-	before := len(b.members)
-	present := make(map[proxy.HostID]bool, len(listing.Records))
-	var lost []proxy.Record
-	for _, record := range listing.Records {
-		id := proxy.HostID(record.Name)
-		r, err := decodeReport(record)
-		if err != nil {
-			h.Log.Warn().Err(err).Str("entry", record.Name).Msg("host entry is not readable")
-		}
-		present[id] = true
-		h.register(id, record, r)
-		if m := b.members[id]; id != h.Settings.Host && now.Sub(m.changed) > lostTime {
-			lost = append(lost, record)
+	var chosen proxy.HostID
+	for id, m := range b.members {
+		if id == h.Settings.Host {
+			continue
 		}
-	}
-	for id := range b.members {
-		if !present[id] {
-			delete(b.members, id)
+		// The order of a map is random, so that the hosts take turns.
+		if chosen == "" || m.silent != 0 && b.members[chosen].silent == 0 {
+			chosen = id
 		}
 	}
-	if present[h.Settings.Host] && b.counted == 0 {
-		b.counted = sent
-		h.joinedAt = sent
-	}
-	if len(b.members) != before {
-		h.Log.Info().Int("hosts", len(b.members)).Int("before", before).Msg("number of hosts changed")
+	if chosen == "" {
+		return peering.Peer{}, false
 	}
-	return lost
+	return b.members[chosen].peer(chosen)
 }
 
-// register notes a report. The caller holds the lock of the beliefs.
-func (h *Host) register(id proxy.HostID, record proxy.Record, r Report) {
-	m := h.beliefs.members[id]
+// noteCheck notes whether a host has answered. It returns the record to remove
+// where the host is lost and this one is in touch with the store.
+func (h *Host) noteCheck(id proxy.HostID, answered bool) proxy.Record {
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.members[id]
 	if m == nil {
-		m = &member{}
-		h.beliefs.members[id] = m
+		return proxy.Record{}
+	}
+	if answered {
+		m.silent = 0
+		return proxy.Record{}
 	}
-	if m.version != record.Version {
-		m.report, m.version, m.changed = r, record.Version, h.Clock.Now()
+	if m.silent == 0 {
+		m.silent = now
 	}
+	if now.Sub(m.silent) < lostTime || now.Sub(b.led) > 2*proofWait+storeSlack {
+		return proxy.Record{}
+	}
+	return proxy.Record{Name: string(id), Version: m.version}
 }
 
-func decodeReport(record proxy.Record) (Report, error) {
-	var r Report
-	if err := json.Unmarshal(record.Spec, &r); err != nil {
-		return Report{}, fmt.Errorf("decode report: %w", err)
-	}
-	if err := r.Validate(); err != nil {
-		return Report{}, fmt.Errorf("report: %w", err)
+func (h *Host) removeMember(ctx context.Context, lost proxy.Record) {
+	if err := h.Store.Remove(ctx, memberKind, lost.Name, lost.Version); err != nil {
+		h.Log.Warn().Err(err).Str("lost", lost.Name).Msg("entry of a lost host was not removed")
+		return
 	}
-	return r, nil
+	h.Log.Info().Str("lost", lost.Name).Msg("lost host removed")
 }
 
-// joined returns the instant at which the host was first counted, zero before.
-func (h *Host) joined() proxy.Instant {
-	h.beliefs.mu.Lock()
-	defer h.beliefs.mu.Unlock()
-	return h.joinedAt
+// state is what this host tells others that ask.
+func (h *Host) state() peering.State {
+	now := h.Clock.Now()
+	s := peering.State{Host: h.Settings.Host, Incarnation: h.incarnation}
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, t := range b.tenures {
+		if t.record.Phase == succession.Replacing && t.accepted {
+			s.Accepted = append(s.Accepted, peering.Acceptance{Group: id, Version: t.version})
+		}
+		if since := b.suspects[t.record.Primary]; since != 0 && now.Sub(since) > suspectTime {
+			s.Suspects = append(s.Suspects, t.record.Primary)
+		}
+	}
+	return s
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,10 +19,10 @@
 type Metrics struct {
 	Registry metrics.Registry
 
-	served, opened, full, broken, retried, unlogged metrics.Counter
-	codes                                           map[proxy.Code]metrics.Counter
-	instanceCodes                                   map[proxy.Code]metrics.Counter
-	latency                                         metrics.Histogram
+	served, opened, full, broken, retried, unlogged, calls metrics.Counter
+	codes                                                  map[proxy.Code]metrics.Counter
+	instanceCodes                                          map[proxy.Code]metrics.Counter
+	latency                                                metrics.Histogram
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -40,6 +40,7 @@
 		"connections.broken": &m.broken,
 		"statements.retried": &m.retried,
 		"log.unlogged":       &m.unlogged,
+		"store.reads":        &m.calls,
 	} {
 		*counter = metrics.NewCounter()
 		m.register(name, *counter)
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/internal/peering"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// In each zone one host asks the store and relays to the others, since calls to
+// the store are limited and paid for. A relayed proof keeps its age: it is never
+// taken for newer than the relay's own.
+const (
+	// relayWait is how long a relay may wait for a change or a newer proof. It
+	// exceeds the wait of the watches that bring proofs.
+	relayWait = 2 * time.Second
+	// relayTimeout limits a call to a relay.
+	relayTimeout = relayWait + 300*time.Millisecond
+	// relayAge is how much older than the wait of a watch a relayed proof may be.
+	relayAge = 1200 * time.Millisecond
+	// distrustTime is how long a relay that failed is not followed.
+	distrustTime = 4 * time.Second
+	// maxRelayed bounds an answer of a relay, in bytes.
+	maxRelayed = 16 << 20
+	relayPath  = "/relay"
+)
+
+var errOldProof = eris.New("proof of the relay is too old")
+
+// relayFor returns the host to follow: the first of the zone in the order of
+// names that has not failed recently. It returns false for that host itself.
+func (h *Host) relayFor() (peering.Peer, bool) {
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := h.Settings.Host
+	for id, m := range b.members {
+		if id < first && m.report.Zone == h.Settings.Zone && now >= h.distrusted[id] {
+			first = id
+		}
+	}
+	if first == h.Settings.Host {
+		return peering.Peer{}, false
+	}
+	return b.members[first].peer(first)
+}
+
+// distrust stops following a relay for a while.
+func (h *Host) distrust(id proxy.HostID, err error) {
+	h.beliefs.mu.Lock()
+	h.distrusted[id] = h.Clock.Now().Add(distrustTime)
+	h.beliefs.mu.Unlock()
+	h.Log.Info().Err(err).Str("relay", string(id)).Msg("relay lost")
+}
+
+// fetch asks a relay for what has changed.
+func (h *Host) fetch(
+	ctx context.Context, relay peering.Peer, kind proxy.Kind, epoch proxy.Incarnation, index uint64,
+) (Relayed, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	query := url.Values{
+		"kind":  {string(kind)},
+		"epoch": {strconv.FormatUint(uint64(epoch), 10)},
+		"index": {strconv.FormatUint(index, 10)},
+	}
+	target := url.URL{Scheme: "http", Host: relay.Address.String(), Path: relayPath, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return Relayed{}, fmt.Errorf("build request to relay: %w", err)
+	}
+	response, err := h.relays.Do(request)
+	if err != nil {
+		return Relayed{}, fmt.Errorf("call relay: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Relayed{}, eris.Errorf("relay answered with status %d", response.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxRelayed))
+	if err != nil {
+		return Relayed{}, fmt.Errorf("read answer of relay: %w", err)
+	}
+	var answer Relayed
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return Relayed{}, fmt.Errorf("decode answer of relay: %w", err)
+	}
+	return answer, nil
+}
+
+// serveRelay answers the followers of this host until the returned function is
+// called.
+func (h *Host) serveRelay(ctx context.Context) (func(), error) {
+	var listening net.ListenConfig
+	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Peer.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for followers: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+relayPath, h.answerFollower)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
+
+func (h *Host) answerFollower(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	m := h.mirrors[proxy.Kind(query.Get("kind"))]
+	epoch, errEpoch := strconv.ParseUint(query.Get("epoch"), 10, 64)
+	index, errIndex := strconv.ParseUint(query.Get("index"), 10, 64)
+	if m == nil || errEpoch != nil || errIndex != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if proxy.Incarnation(epoch) != h.incarnation {
+		index = 0
+	}
+	answer, ok := m.relay(h.Clock, h.incarnation, index, relayWait)
+	if !ok || h.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	data, err := cbor.Marshal(answer)
+	if err != nil {
+		h.Log.Error().Err(err).Msg("answer to a follower was not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// A follower that has gone asks again or asks the store.
+	_, _ = w.Write(data)
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
@@ -34,54 +35,116 @@
 	retryTime = 150 * time.Millisecond
 )
 
-// follower keeps a kind of the store's objects up to date.
+// follower keeps a kind of the store's objects up to date, from the store or
+// from another host of its zone.
 type follower struct {
-	host *Host
-	kind proxy.Kind
-	wait time.Duration
-	// replace receives the whole state, change single changes; sent is the
-	// instant before the call.
-	replace func(sent proxy.Instant, records []proxy.Record)
-	change  func(sent proxy.Instant, records []proxy.Record)
-	// failing reports that the last call failed.
+	host   *Host
+	kind   proxy.Kind
+	wait   time.Duration
+	// maxAge is the age at which a relay's proof is too old.
+	maxAge time.Duration
+	mirror *mirror
+	// replace receives the whole state, change single changes; proof is the
+	// instant as of which nothing else has changed.
+	replace func(proof proxy.Instant, records []proxy.Record)
+	change  func(proof proxy.Instant, records []proxy.Record)
+
+	// relay is the host that is followed, epoch and index its last answer.
+	relay proxy.HostID
+	epoch proxy.Incarnation
+	index uint64
+	// version is the store's version of the state, zero for none.
+	version proxy.Version
+	// failing reports that the last call to the store failed.
 	failing bool
 }
 
+func (h *Host) newFollower(kind proxy.Kind, wait time.Duration) *follower {
+	f := &follower{host: h, kind: kind, wait: wait, mirror: h.mirrors[kind]}
+	f.maxAge = wait + relayAge
+	if wait > relayWait {
+		f.maxAge += relayWait
+	}
+	return f
+}
+
 func (f *follower) run(ctx context.Context) {
-	version := proxy.Version(0)
 	for ctx.Err() == nil {
-		sent := f.host.Clock.Now()
-		next, err := f.step(ctx, sent, version)
-		f.note(err)
-		if err == nil {
-			version = next
+		if relay, ok := f.host.relayFor(); ok && f.follow(ctx, relay) {
 			continue
 		}
-		if errors.Is(err, proxy.ErrHistoryGone) {
-			version = 0
-			continue
-		}
-		if !timing.Sleep(ctx, retryTime) {
+		f.relay = ""
+		err := f.step(ctx)
+		f.note(err)
+		switch {
+		case err == nil:
+		case errors.Is(err, proxy.ErrHistoryGone):
+			f.version = 0
+		case !timing.Sleep(ctx, retryTime):
 			return
 		}
 	}
 }
 
-func (f *follower) step(ctx context.Context, sent proxy.Instant, version proxy.Version) (proxy.Version, error) {
-	if version == 0 {
+// step makes one call to the store.
+func (f *follower) step(ctx context.Context) error {
+	sent := f.host.Clock.Now()
+	f.host.Metrics.calls.Inc(1)
+	if f.version == 0 {
 		listing, err := f.host.Store.List(ctx, f.kind)
 		if err != nil {
-			return 0, fmt.Errorf("list: %w", err)
+			return fmt.Errorf("list: %w", err)
 		}
-		f.replace(sent, listing.Records)
-		return listing.Version, nil
+		f.take(sent, listing, true)
+		return nil
 	}
-	listing, err := f.host.Store.Watch(ctx, f.kind, version, f.wait)
+	listing, err := f.host.Store.Watch(ctx, f.kind, f.version, f.wait)
 	if err != nil {
-		return 0, fmt.Errorf("watch: %w", err)
+		return fmt.Errorf("watch: %w", err)
+	}
+	f.take(sent, listing, false)
+	return nil
+}
+
+// take applies a listing or changes. The mirror follows what the host itself
+// has applied.
+func (f *follower) take(proof proxy.Instant, listing proxy.Listing, whole bool) {
+	if whole {
+		f.replace(proof, listing.Records)
+		f.mirror.replace(proof, listing)
+	} else {
+		f.change(proof, listing.Records)
+		f.mirror.change(proof, listing)
 	}
-	f.change(sent, listing.Records)
-	return listing.Version, nil
+	f.version = listing.Version
+}
+
+// follow takes one answer of a relay. It returns false where the relay does not
+// answer or its proof is too old, so that the store has to be asked.
+func (f *follower) follow(ctx context.Context, relay peering.Peer) bool {
+	if relay.Host != f.relay {
+		f.relay, f.index = relay.Host, 0
+	}
+	sent := f.host.Clock.Now()
+	answer, err := f.host.fetch(ctx, relay, f.kind, f.epoch, f.index)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.host.distrust(relay.Host, err)
+		}
+		return false
+	}
+	proof := sent.Add(min(answer.Lead, 0))
+	if f.host.Clock.Now().Sub(proof) > f.maxAge {
+		f.host.distrust(relay.Host, errOldProof)
+		return false
+	}
+	if answer.Epoch != f.epoch && !answer.Whole {
+		f.index = 0
+		return true
+	}
+	f.epoch, f.index = answer.Epoch, answer.Index
+	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole)
+	return true
 }
 
 func (f *follower) note(err error) {
@@ -89,6 +152,7 @@
 	if failing != f.failing {
 		f.failing = failing
 		if failing {
+			f.mirror.fail()
 			f.host.Log.Warn().Err(err).Str("kind", string(f.kind)).Msg("store lost")
 		} else {
 			f.host.Log.Info().Str("kind", string(f.kind)).Msg("store regained")
@@ -100,7 +164,7 @@
 }
 
 func (h *Host) runConfiguration(ctx context.Context) {
-	f := &follower{host: h, kind: h.Decode.ConfigurationKind, wait: proofWait}
+	f := h.newFollower(h.Decode.ConfigurationKind, proofWait)
 	f.replace = h.applyConfiguration
 	f.change = h.applyConfiguration
 	f.run(ctx)
@@ -146,7 +210,7 @@
 }
 
 func (h *Host) runTenures(ctx context.Context) {
-	f := &follower{host: h, kind: tenureKind, wait: proofWait}
+	f := h.newFollower(tenureKind, proofWait)
 	f.replace = h.applyTenures
 	f.change = h.applyTenures
 	f.run(ctx)
@@ -203,7 +267,7 @@
 }
 
 func (h *Host) runInstances(ctx context.Context) {
-	f := &follower{host: h, kind: h.Decode.InstanceKind, wait: instanceWait}
+	f := h.newFollower(h.Decode.InstanceKind, instanceWait)
 	f.replace = h.replaceInstances
 	f.change = h.changeInstances
 	f.run(ctx)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -33,7 +33,25 @@
 	// Request is a number that the requesting host has drawn.
 	Request uint64 `cbor:"1,keyasint"`
 	Answer  bool   `cbor:"2,keyasint,omitempty"`
-	Loans   []loan `cbor:"3,keyasint"`
+	Loans   []loan `cbor:"3,keyasint,omitempty"`
+	// State is the answer to a request without loans.
+	State *State `cbor:"4,keyasint,omitempty"`
+}
+
+// State is what a host tells others of itself.
+type State struct {
+	Host        proxy.HostID      `cbor:"1,keyasint"`
+	Incarnation proxy.Incarnation `cbor:"2,keyasint"`
+	// Accepted are the replacements whose old primaries it no longer uses.
+	Accepted []Acceptance `cbor:"3,keyasint,omitempty"`
+	// Suspects are primaries that it cannot reach.
+	Suspects []proxy.InstanceID `cbor:"4,keyasint,omitempty"`
+}
+
+// Acceptance names a version of a group's record.
+type Acceptance struct {
+	Group   proxy.GroupID `cbor:"1,keyasint"`
+	Version proxy.Version `cbor:"2,keyasint"`
 }
 
 type loan struct {
@@ -73,6 +91,8 @@
 	Allowances *allowance.Table
 	// Random draws the numbers of requests.
 	Random func() uint64
+	// State returns what the host tells others of itself.
+	State func() State
 
 	conn *net.UDPConn
 	mu   sync.Mutex
@@ -80,6 +100,8 @@
 	peers []*peer
 	// pending holds the requests without an answer.
 	pending map[uint64]request
+	// asked receives the answers to questions, by request.
+	asked map[uint64]chan<- State
 	// credited is closed and replaced when tokens arrive.
 	credited chan struct{}
 }
@@ -109,6 +131,7 @@
 	}
 	l.conn = conn
 	l.pending = make(map[uint64]request)
+	l.asked = make(map[uint64]chan<- State)
 	l.credited = make(chan struct{})
 	return func() { _ = conn.Close() }, nil
 }
@@ -153,9 +176,15 @@
 			l.Log.Warn().Err(err).Str("from", from.String()).Msg("loan datagram is not readable")
 			continue
 		}
-		if m.Answer {
+		switch {
+		case m.Answer && m.State != nil:
+			l.hear(m)
+		case m.Answer:
 			l.receive(m)
-		} else {
+		case len(m.Loans) == 0:
+			state := l.State()
+			l.send(message{Request: m.Request, Answer: true, State: &state}, from)
+		default:
 			l.lend(m, from)
 		}
 	}
@@ -215,6 +244,49 @@
 	l.mu.Unlock()
 }
 
+// hear passes the answer to a question on.
+func (l *Lender) hear(m message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answers := l.asked[m.Request]; answers != nil {
+		delete(l.asked, m.Request)
+		answers <- *m.State
+	}
+}
+
+// Ask asks hosts for their state and returns the answers that arrive within
+// timeout.
+func (l *Lender) Ask(ctx context.Context, peers []Peer, timeout time.Duration) []State {
+	answers := make(chan State, len(peers))
+	numbers := make([]uint64, 0, len(peers))
+	l.mu.Lock()
+	for range peers {
+		number := l.Random()
+		numbers = append(numbers, number)
+		l.asked[number] = answers
+	}
+	l.mu.Unlock()
+	for n, p := range peers {
+		l.send(message{Request: numbers[n]}, p.Address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	states := make([]State, 0, len(peers))
+	for len(states) < len(peers) && ctx.Err() == nil {
+		select {
+		case s := <-answers:
+			states = append(states, s)
+		case <-ctx.Done():
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, number := range numbers {
+		delete(l.asked, number)
+	}
+	return states
+}
+
 // Borrow asks for what the host needs, each account of one peer, and reports
 // whether anything was asked for or is still on its way.
 func (l *Lender) Borrow() bool {
@@ -232,7 +304,7 @@
 	}
 	requests := make(map[*peer][]loan)
 	for _, need := range needs {
-		if l.asked(need.Account) {
+		if l.requested(need.Account) {
 			continue
 		}
 		if p := l.lenderOf(now, need.Account); p != nil && len(requests[p]) < maxNeeds {
@@ -255,8 +327,8 @@
 	l.send(message{Request: number, Loans: loans}, p.Address)
 }
 
-// asked reports whether a request for an account is on its way.
-func (l *Lender) asked(id proxy.AccountID) bool {
+// requested reports whether a request for an account is on its way.
+func (l *Lender) requested(id proxy.AccountID) bool {
 	for _, r := range l.pending {
 		if _, ok := r.wanted[id]; ok {
 			return true
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -44,8 +44,12 @@
 	fullTime = 100 * time.Millisecond
 	// lagTime follows a replica's answer that it lacks a position.
 	lagTime = 300 * time.Millisecond
-	// idleTime closes connections above the host's share of an instance.
-	idleTime = time.Second
+	// idleTime is how long a connection above the host's share of an instance is
+	// kept, where instances accept fewer connections than there are hosts.
+	idleTime = 400 * time.Millisecond
+	// sharedLimit bounds the connections of a host without a share of its own:
+	// one for a transaction and one for other statements.
+	sharedLimit = 2
 )
 
 // Want describes an operation that needs a connection.
@@ -95,7 +99,8 @@
 // instance is what the table knows of an instance.
 type instance struct {
 	directory.Instance
-	// share is the number of connections that the host may keep open.
+	// share is the number of connections that the host may keep open; zero where
+	// there are fewer connections than hosts.
 	share int
 	// open counts connections that are lent, idle or being opened.
 	open    int
@@ -153,7 +158,7 @@
 		if at == nil {
 			at = &instance{delay: t.assumedDelay(m.Zone)}
 		}
-		at.Instance, at.share = m.Instance, max(m.Share, 1)
+		at.Instance, at.share = m.Instance, m.Share
 		known[m.ID] = at
 	}
 	for id, at := range t.instances {
@@ -176,6 +181,14 @@
 	return initialDelay
 }
 
+// limit is the number of connections that the host may have open at a time.
+func (i *instance) limit() int {
+	if i.share == 0 {
+		return sharedLimit
+	}
+	return i.share
+}
+
 // retire makes the instance unusable and returns its idle connections.
 func (i *instance) retire() []proxy.Connection {
 	i.gone = true
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -147,7 +147,7 @@
 	if i.running >= i.Slots || now < i.shunned || slices.Contains(want.Avoid, i.ID) {
 		return false
 	}
-	return i.find(want.Account) >= 0 || now >= i.full && (i.open < i.share || len(i.idle) > 0)
+	return i.find(want.Account) >= 0 || now >= i.full && (i.open < i.limit() || len(i.idle) > 0)
 }
 
 func (i *instance) cost(g *group, want *Want) time.Duration {
@@ -181,7 +181,7 @@
 		return Grant{Connection: c}
 	}
 	var grant Grant
-	if i.open >= i.share {
+	if i.open >= i.limit() {
 		grant.Evicted = append(grant.Evicted, i.evict())
 	}
 	i.open++
--- a/pkg/proxy/objects.go
+++ b/pkg/proxy/objects.go
@@ -12,11 +12,11 @@
 
 // Record is an object of the store as read at Version.
 type Record struct {
-	Name    string
-	Version Version
-	Spec    json.RawMessage
-	// Deleted reports, in a Change, that the object no longer exists.
-	Deleted bool
+	Name    string          `cbor:"1,keyasint"`
+	Version Version         `cbor:"2,keyasint"`
+	Spec    json.RawMessage `cbor:"3,keyasint"`
+	// Deleted reports, in a change, that the object no longer exists.
+	Deleted bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Listing is the state of a kind at Version.
