--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,11 +23,12 @@
 const (
 	// relayWait is how long a relay may wait for a change or a newer proof. It
 	// exceeds the wait of the watches that bring proofs.
-	relayWait = 2 * time.Second
+	relayWait = 2500 * time.Millisecond
 	// relayTimeout limits a call to a relay.
 	relayTimeout = relayWait + 300*time.Millisecond
-	// relayAge is how much older than the wait of a watch a relayed proof may be.
-	relayAge = 1200 * time.Millisecond
+	// relayAge is how much older than two waits of a watch a relayed proof may be.
+	// Until a watch returns, the proof of the one before it gets two waits old.
+	relayAge = 400 * time.Millisecond
 	// distrustTime is how long a relay that failed is not followed.
 	distrustTime = 4 * time.Second
 	// maxRelayed bounds an answer of a relay, in bytes.
@@ -35,8 +36,6 @@
 	relayPath  = "/relay"
 )
 
-var errOldProof = eris.New("proof of the relay is too old")
-
 // relayFor returns the host to follow: the first of the zone in the order of
 // names that has not failed recently. It returns false for that host itself.
 func (h *Host) relayFor() (peering.Peer, bool) {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -61,10 +63,7 @@
 
 func (h *Host) newFollower(kind proxy.Kind, wait time.Duration) *follower {
 	f := &follower{host: h, kind: kind, wait: wait, mirror: h.mirrors[kind]}
-	f.maxAge = wait + relayAge
-	if wait > relayWait {
-		f.maxAge += relayWait
-	}
+	f.maxAge = 2*wait + relayAge
 	return f
 }
 
@@ -134,8 +133,12 @@
 		return false
 	}
 	proof := sent.Add(min(answer.Lead, 0))
-	if f.host.Clock.Now().Sub(proof) > f.maxAge {
-		f.host.distrust(relay.Host, errOldProof)
+	if age := f.host.Clock.Now().Sub(proof); age > f.maxAge {
+		f.host.distrust(relay.Host, eris.Errorf("proof of %s is %v old", f.kind, age))
+		return false
+	}
+	if answer.Version < f.version {
+		f.host.distrust(relay.Host, eris.Errorf("%s is at version %d, behind %d", f.kind, answer.Version, f.version))
 		return false
 	}
 	if answer.Epoch != f.epoch && !answer.Whole {
