Give accounts home hosts, begin transactions while clients pause, follow relays in turn

Cause: on 68 hosts an account's part was a fraction of a token a second (3705 refusals within rate in 14 s); a transaction's first statement paid for the new connection; a lost relay sent its whole zone to the store.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -6,9 +6,11 @@
 	"encoding/binary"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,7 +93,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.beliefs = newBeliefs()
 	h.table = &dispatch.Table{Zone: h.Settings.Zone}
-	h.allowances = &allowance.Table{}
+	h.allowances = &allowance.Table{Self: h.Settings.Host, HandOver: joinTime}
 	h.lender = &peering.Lender{
 		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
 	}
@@ -224,12 +226,9 @@
 	b := h.beliefs
 	b.mu.Lock()
 	hosts := max(len(b.members), 1)
-	part := 1 / float64(hosts)
 	counted := h.countedLocked(now)
-	if !counted {
-		part = 0
-	}
 	peers := b.peers(h.Settings.Host)
+	names := slices.Sorted(maps.Keys(b.members))
 	configuration := b.configuration
 	var members []dispatch.Member
 	for _, i := range b.instances {
@@ -257,8 +256,8 @@
 	for id, leader := range leaders {
 		h.table.Lead(now, id, leader)
 	}
-	if configuration != nil {
-		h.allowances.Configure(now, configuration.Accounts, part)
+	if configuration != nil && len(names) > 0 {
+		h.allowances.Configure(now, configuration.Accounts, names, counted)
 	}
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,7 +23,7 @@
 const (
 	// relayWait is how long a relay may wait for a change or a newer proof. It
 	// exceeds the wait of the watches that bring proofs.
-	relayWait = 2500 * time.Millisecond
+	relayWait = 1800 * time.Millisecond
 	// relayTimeout limits a call to a relay.
 	relayTimeout = relayWait + 300*time.Millisecond
 	// relayAge is how much older than two waits of a watch a relayed proof may be.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -52,8 +52,11 @@
 	failed   bool
 	// wrote reports that a statement that writes was sent.
 	wrote bool
-	// connection is nil until the first statement is forwarded.
+	// opened is closed when the transaction has begun on connection, or when it
+	// could not begin because of refusal.
+	opened     chan struct{}
 	connection *dispatch.Connection
+	refusal    *proxy.Failure
 	// version is that of the record that names the primary; zero for a
 	// transaction that does not depend on it.
 	version proxy.Version
@@ -237,6 +240,7 @@
 // define changes the session's values and prepared statements. They reach an
 // instance with the next statement that needs them.
 func (s *session) define(st proxy.Statement) proxy.Answer {
+	s.awaitOpening()
 	if s.transaction != nil && s.transaction.failed {
 		return s.fail(proxy.Malformed, "transaction has failed")
 	}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -11,19 +11,38 @@
 // rollbackTimeout limits the rollback that precedes the return of a connection.
 const rollbackTimeout = 300 * time.Millisecond
 
-// beginTransaction admits a transaction. It begins on an instance with its first
-// statement.
+// beginTransaction admits a transaction and answers at once. The transaction
+// begins on an instance meanwhile: its client pauses before its first statement,
+// and opening a connection takes several round trips.
 func (s *session) beginTransaction(st proxy.Statement, arrived proxy.Instant) proxy.Answer {
 	op, failure := s.admit(st, arrived)
 	if failure != nil {
 		return s.failure(failure)
 	}
-	s.transaction = &transaction{operation: op, readOnly: st.Verb == proxy.BeginRead}
-	return s.done()
+	t := &transaction{operation: op, readOnly: st.Verb == proxy.BeginRead, opened: make(chan struct{})}
+	s.transaction = t
+	answer := s.done()
+	go func() {
+		defer close(t.opened)
+		t.refusal = s.openTransaction(arrived.Add(op.route.Timeout))
+		if t.connection != nil {
+			s.host.table.Pause(s.host.Clock.Now(), t.connection)
+		}
+	}()
+	return answer
+}
+
+// awaitOpening waits until the transaction has begun on an instance, or could
+// not. Until then the session's state belongs to the opening.
+func (s *session) awaitOpening() {
+	if s.transaction != nil {
+		<-s.transaction.opened
+	}
 }
 
 // continueTransaction runs a statement of the open transaction.
 func (s *session) continueTransaction(st proxy.Statement, arrived proxy.Instant) proxy.Answer {
+	s.awaitOpening()
 	t := s.transaction
 	switch {
 	case st.Verb == proxy.Rollback:
@@ -40,14 +59,11 @@
 	if failure := s.stillPermitted(arrived); failure != nil {
 		return s.abort(failure)
 	}
-	deadline := arrived.Add(t.route.Timeout)
-	if t.connection == nil {
-		if failure := s.openTransaction(deadline); failure != nil {
-			return s.abort(failure)
-		}
-	} else {
-		s.host.table.Resume(s.host.Clock.Now(), t.connection)
+	if t.refusal != nil {
+		return s.abort(t.refusal)
 	}
+	deadline := arrived.Add(t.route.Timeout)
+	s.host.table.Resume(s.host.Clock.Now(), t.connection)
 	answer := s.forward(st, deadline)
 	if s.transaction != nil && t.connection != nil {
 		s.host.table.Pause(s.host.Clock.Now(), t.connection)
@@ -230,6 +246,7 @@
 // failTransaction rolls the transaction back. The session stays in the failed
 // state until the client ends the transaction.
 func (s *session) failTransaction() {
+	s.awaitOpening()
 	t := s.transaction
 	t.failed = true
 	if c := t.connection; c != nil {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,16 +34,23 @@
 	// drainMargin is how long before the end of the drain time a leaving instance
 	// gets its last operation.
 	drainMargin = 1500 * time.Millisecond
-	// retryTime is the pause after a failed call to the store.
-	retryTime = 150 * time.Millisecond
+	// retryTime is the pause after a failed call to the store. It doubles up to
+	// maxRetryTime, since refused calls are paid for too.
+	retryTime    = 150 * time.Millisecond
+	maxRetryTime = 900 * time.Millisecond
+	// hopTime is the pause before another relay is tried.
+	hopTime = 100 * time.Millisecond
+	// staleTime is how much older than a wait a state may be that is continued
+	// by a watch.
+	staleTime = 800 * time.Millisecond
 )
 
 // follower keeps a kind of the store's objects up to date, from the store or
 // from another host of its zone.
 type follower struct {
-	host   *Host
-	kind   proxy.Kind
-	wait   time.Duration
+	host *Host
+	kind proxy.Kind
+	wait time.Duration
 	// maxAge is the age at which a relay's proof is too old.
 	maxAge time.Duration
 	mirror *mirror
@@ -57,6 +65,8 @@
 	index uint64
 	// version is the store's version of the state, zero for none.
 	version proxy.Version
+	// proof is the instant as of which the state was known to be complete.
+	proof proxy.Instant
 	// failing reports that the last call to the store failed.
 	failing bool
 }
@@ -68,8 +78,12 @@
 }
 
 func (f *follower) run(ctx context.Context) {
+	pause := retryTime
 	for ctx.Err() == nil {
-		if relay, ok := f.host.relayFor(); ok && f.follow(ctx, relay) {
+		if relay, ok := f.host.relayFor(); ok {
+			if !f.follow(ctx, relay) && !timing.Sleep(ctx, hopTime) {
+				return
+			}
 			continue
 		}
 		f.relay = ""
@@ -77,19 +91,28 @@
 		f.note(err)
 		switch {
 		case err == nil:
+			pause = retryTime
 		case errors.Is(err, proxy.ErrHistoryGone):
 			f.version = 0
-		case !timing.Sleep(ctx, retryTime):
+		case !timing.Sleep(ctx, jitter(pause)):
 			return
+		default:
+			pause = min(2*pause, maxRetryTime)
 		}
 	}
 }
 
-// step makes one call to the store.
+// jitter spreads a pause by a quarter, so that hosts do not call all at once.
+func jitter(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.75 + rand.Float64()/2))
+}
+
+// step makes one call to the store. It lists where the state is unknown, or so
+// old that a proof is needed before a watch would bring one.
 func (f *follower) step(ctx context.Context) error {
 	sent := f.host.Clock.Now()
 	f.host.Metrics.calls.Inc(1)
-	if f.version == 0 {
+	if f.version == 0 || sent.Sub(f.proof) > f.wait+staleTime {
 		listing, err := f.host.Store.List(ctx, f.kind)
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
@@ -115,7 +138,7 @@
 		f.change(proof, listing.Records)
 		f.mirror.change(proof, listing)
 	}
-	f.version = listing.Version
+	f.version, f.proof = listing.Version, proof
 }
 
 // follow takes one answer of a relay. It returns false where the relay does not
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -337,12 +338,14 @@
 	return false
 }
 
-// lenderOf returns the peer to ask for an account, nil where all have recently
-// had nothing to lend. Peers take turns within a zone, so that none is drained.
+// lenderOf returns the peer to ask for an account, nil where all of its homes
+// have recently had nothing to lend. Homes take turns within a zone, so that
+// none is drained.
 func (l *Lender) lenderOf(now proxy.Instant, id proxy.AccountID) *peer {
+	homes := l.Allowances.Homes(id)
 	var found []*peer
 	for _, p := range l.peers {
-		if now < p.empty[id] {
+		if now < p.empty[id] || !slices.Contains(homes, p.Host) {
 			continue
 		}
 		if len(found) > 0 && p.Zone != found[0].Zone && found[0].Zone == l.Zone {
--- a/pkg/proxy/allowance/table.go
+++ b/pkg/proxy/allowance/table.go
@@ -1,20 +1,24 @@
 // Package allowance admits operations within the rate and burst of client
-// accounts over all hosts together. Each host fills buckets with its equal part
-// of every account's rate. Where the demand of an account is uneven, a host
-// borrows tokens of others: the lender takes them out of its bucket before it
-// sends them, so that none is ever in two places.
+// accounts over all hosts together. Each account has home hosts, which fill
+// buckets with equal parts of its rate. Where an account's demand reaches other
+// hosts, or is uneven, a host borrows tokens of the homes: the lender takes them
+// out of its bucket before it sends them, so that none is ever in two places.
 //
 // It answers this load: a load balancer that spreads few large clients unevenly
-// over hosts, and accounts that use about two thirds of their rate.
+// over hosts, accounts that use about two thirds of their rate, and more hosts
+// than an account sends operations in a second.
 package allowance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 )
@@ -32,14 +36,24 @@
 	minDemand = 0.2
 	// maxLoan bounds the tokens of one loan.
 	maxLoan = 64
+	// homeRate is the least part of a rate that a home has, in 1/s: below it,
+	// buckets would hold fractions of tokens that nobody can use.
+	homeRate = 3.0
+	// minHomes keeps an account served, at part of its rate, while a home is away.
+	minHomes = 2
 )
 
 // Table holds the token buckets of one host. It is safe for concurrent use.
 //
-// Invariant: over all hosts the parts of an account add up to at most 1, since
-// a host counts every host that may serve, and a new host has no part until all
-// others have counted it.
+// Invariant: over all hosts the parts of an account add up to at most 1. A host
+// stops filling a bucket as soon as it learns that it is no home any more; a new
+// home begins HandOver later, when all others have learned that or have stopped.
 type Table struct {
+	// Self is this host.
+	Self proxy.HostID
+	// HandOver is how long a new home of an account waits.
+	HandOver time.Duration
+
 	mu      sync.Mutex
 	buckets map[proxy.AccountID]*bucket
 }
@@ -49,35 +63,85 @@
 type bucket struct {
 	rate, burst, tokens float64
 	filled              proxy.Instant
+	// home reports that the host is among homes, the account's homes.
+	home  bool
+	homes []proxy.HostID
 	// demand is the moving average of operations asked for, in 1/s.
 	demand float64
 	asked  proxy.Instant
 }
 
-// Configure sets the limits of the accounts, of which the host has the given
-// part.
-func (t *Table) Configure(now proxy.Instant, accounts map[proxy.AccountID]directory.Account, part float64) {
+// Configure sets the limits of the accounts and the hosts that share them.
+// Counted reports that the other hosts count this one; until then it is no home.
+func (t *Table) Configure(
+	now proxy.Instant, accounts map[proxy.AccountID]directory.Account, hosts []proxy.HostID, counted bool,
+) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	buckets := make(map[proxy.AccountID]*bucket, len(accounts))
 	for id, a := range accounts {
 		b := t.buckets[id]
 		if b == nil {
-			b = &bucket{filled: now, asked: now}
+			b = &bucket{filled: now, asked: now, home: true}
 		}
 		b.fill(now)
-		b.rate, b.burst = a.Rate*part, a.Burst*part
+		b.homes = homes(a, hosts)
+		home := slices.Contains(b.homes, t.Self)
+		if home && !b.home {
+			b.filled = now.Add(t.HandOver)
+		}
+		b.home, b.rate, b.burst = home, 0, 0
+		if home && counted {
+			part := 1 / float64(len(b.homes))
+			b.rate, b.burst = a.Rate*part, a.Burst*part
+		}
 		b.tokens = min(b.tokens, max(b.burst, 1))
 		buckets[id] = b
 	}
 	t.buckets = buckets
 }
 
+// homes chooses the homes of an account by rendezvous hashing, so that a change
+// of the hosts moves few accounts.
+func homes(a directory.Account, hosts []proxy.HostID) []proxy.HostID {
+	number := min(max(int(a.Rate/homeRate), minHomes), len(hosts))
+	if number == len(hosts) {
+		return hosts
+	}
+	type scored struct {
+		host  proxy.HostID
+		score uint64
+	}
+	all := make([]scored, 0, len(hosts))
+	for _, h := range hosts {
+		all = append(all, scored{h, xxhash.Sum64String(string(a.ID) + "/" + string(h))})
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	chosen := make([]proxy.HostID, 0, number)
+	for _, s := range all[:number] {
+		chosen = append(chosen, s.host)
+	}
+	return chosen
+}
+
+// Homes returns the hosts that may lend tokens of an account.
+func (t *Table) Homes(id proxy.AccountID) []proxy.HostID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.buckets[id]; b != nil {
+		return b.homes
+	}
+	return nil
+}
+
 // fill adds what the bucket's rate has yielded. Tokens above the burst, which a
 // loan may bring, are kept but not added to.
 func (b *bucket) fill(now proxy.Instant) {
-	elapsed := max(now.Sub(b.filled), 0).Seconds()
-	b.filled = max(now, b.filled)
+	if now <= b.filled {
+		return
+	}
+	elapsed := now.Sub(b.filled).Seconds()
+	b.filled = now
 	if capacity := max(b.burst, 1); b.tokens < capacity {
 		b.tokens = min(capacity, b.tokens+b.rate*elapsed)
 	}
@@ -145,7 +209,11 @@
 	for id, b := range t.buckets {
 		b.fill(now)
 		demand := b.current(now)
-		if b.tokens >= max(demand*lowTime.Seconds(), 1) || demand <= b.rate && b.tokens >= 1 || demand < minDemand {
+		if b.tokens >= max(demand*lowTime.Seconds(), 1) || demand <= b.rate && b.tokens >= 1 || demand < minDemand && b.tokens >= 1 {
+			continue
+		}
+		if b.tokens < 1 && now.Sub(b.asked) > aheadTime {
+			// Nothing has been asked for recently.
 			continue
 		}
 		missing := int(math.Ceil(demand*aheadTime.Seconds() - b.tokens))
--- a/pkg/proxy/allowance/table_test.go
+++ b/pkg/proxy/allowance/table_test.go
@@ -14,6 +14,20 @@
 
 const account proxy.AccountID = "clerks"
 
+// fleet returns tables of hosts that share the accounts.
+func fleet(hosts int, limits map[proxy.AccountID]directory.Account) []*allowance.Table {
+	ids := make([]proxy.HostID, hosts)
+	for n := range ids {
+		ids[n] = proxy.HostID(rune('a' + n))
+	}
+	tables := make([]*allowance.Table, hosts)
+	for n, id := range ids {
+		tables[n] = &allowance.Table{Self: id, HandOver: 5 * time.Second}
+		tables[n].Configure(0, limits, ids, true)
+	}
+	return tables
+}
+
 func accounts(rate, burst float64) map[proxy.AccountID]directory.Account {
 	return map[proxy.AccountID]directory.Account{account: {ID: account, Rate: rate, Burst: burst}}
 }
@@ -25,22 +39,19 @@
 		const hosts = 4
 		rate := float64(rapid.IntRange(1, 200).Draw(t, "rate"))
 		burst := float64(rapid.IntRange(0, 200).Draw(t, "burst"))
-		var tables [hosts]allowance.Table
-		for n := range tables {
-			tables[n].Configure(0, accounts(rate, burst), 1.0/hosts)
-		}
+		tables := fleet(hosts, accounts(rate, burst))
 		var now proxy.Instant
 		admitted := 0
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
-			host := &tables[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			host := tables[rapid.IntRange(0, hosts-1).Draw(t, "host")]
 			for range rapid.IntRange(0, 10).Draw(t, "operations") {
 				if host.Admit(now, account) == nil {
 					admitted++
 				}
 			}
 			for _, need := range host.Needs(now) {
-				lender := &tables[rapid.IntRange(0, hosts-1).Draw(t, "lender")]
+				lender := tables[rapid.IntRange(0, hosts-1).Draw(t, "lender")]
 				lent, _ := lender.Lend(now, need.Account, need.Tokens)
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
 					host.Credit(now, need.Account, lent)
@@ -59,10 +70,7 @@
 func TestUnevenDemandIsServedByLoans(t *testing.T) {
 	is := is.New(t)
 	const hosts, rate, demand = 7, 70.0, 42
-	var tables [hosts]allowance.Table
-	for n := range tables {
-		tables[n].Configure(0, accounts(rate, rate), 1.0/hosts)
-	}
+	tables := fleet(hosts, accounts(rate, rate))
 	refused, asked := 0, 0
 	lender := 0
 	for now := proxy.Instant(0); now < proxy.Instant(20*time.Second); now = now.Add(time.Second / demand) {
@@ -84,8 +92,7 @@
 // Guards against a host that lends what its own callers are about to use.
 func TestLenderKeepsWhatItNeeds(t *testing.T) {
 	is := is.New(t)
-	var table allowance.Table
-	table.Configure(0, accounts(100, 20), 1)
+	table := fleet(1, accounts(100, 20))[0]
 	now := proxy.Instant(time.Second)
 	for range 400 {
 		now = now.Add(10 * time.Millisecond)
@@ -101,6 +108,46 @@
 	is := is.New(t)
 	var table allowance.Table
 	is.True(table.Admit(0, account) != nil)
-	table.Configure(0, accounts(1, 1), 0)
+	table.Configure(0, accounts(1, 1), nil, false)
 	is.True(table.Admit(proxy.Instant(time.Hour), account) != nil)
 }
+
+// Guards against a new home that fills its bucket while the old one still does.
+func TestNewHomeWaitsForTheOld(t *testing.T) {
+	is := is.New(t)
+	limits := accounts(10, 10)
+	table := &allowance.Table{Self: "b", HandOver: 5 * time.Second}
+	table.Configure(0, limits, []proxy.HostID{"a"}, true)
+	table.Configure(proxy.Instant(time.Second), limits, []proxy.HostID{"b"}, true)
+	is.True(table.Admit(proxy.Instant(6*time.Second), account) != nil)
+	is.True(table.Admit(proxy.Instant(7*time.Second), account) == nil)
+}
+
+// Plays small accounts on more hosts than they send operations in a second.
+// Guards against parts of a rate that nobody can use because they are spread
+// over all hosts.
+func TestSmallAccountOnManyHosts(t *testing.T) {
+	is := is.New(t)
+	const hosts = 68
+	tables := fleet(hosts, accounts(14, 14))
+	served, asked := 0, 0
+	for now := proxy.Instant(5 * time.Second); now < proxy.Instant(35*time.Second); now = now.Add(110 * time.Millisecond) {
+		host := tables[asked*31%hosts]
+		asked++
+		refused := host.Admit(now, account) != nil
+		for _, home := range host.Homes(account) {
+			if !refused {
+				break
+			}
+			for _, need := range host.Needs(now) {
+				lent, _ := tables[[]rune(string(home))[0]-'a'].Lend(now, need.Account, need.Tokens)
+				host.Credit(now, need.Account, lent)
+			}
+			refused = host.Retry(now, account) != nil
+		}
+		if !refused {
+			served++
+		}
+	}
+	is.Equal(served, asked) // all operations are within the rate
+}
