--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -28,7 +28,10 @@
 	relayTimeout = relayWait + 300*time.Millisecond
 	// relayAge is how much older than two waits of a watch a relayed proof may be.
 	// Until a watch returns, the proof of the one before it gets two waits old.
-	relayAge = 400 * time.Millisecond
+	relayAge = 800 * time.Millisecond
+	// unprovenAge is the age at which a state is read again whose age does not
+	// matter otherwise.
+	unprovenAge = 15 * time.Second
 	// distrustTime is how long a relay that failed is not followed.
 	distrustTime = 4 * time.Second
 	// maxRelayed bounds an answer of a relay, in bytes.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -74,6 +74,10 @@
 func (h *Host) newFollower(kind proxy.Kind, wait time.Duration) *follower {
 	f := &follower{host: h, kind: kind, wait: wait, mirror: h.mirrors[kind]}
 	f.maxAge = 2*wait + relayAge
+	if wait > proofWait {
+		// Nothing depends on the age of this kind.
+		f.maxAge = unprovenAge
+	}
 	return f
 }
 
@@ -160,15 +164,15 @@
 		f.host.distrust(relay.Host, eris.Errorf("proof of %s is %v old", f.kind, age))
 		return false
 	}
-	if answer.Version < f.version {
-		f.host.distrust(relay.Host, eris.Errorf("%s is at version %d, behind %d", f.kind, answer.Version, f.version))
-		return false
-	}
 	if answer.Epoch != f.epoch && !answer.Whole {
 		f.index = 0
 		return true
 	}
 	f.epoch, f.index = answer.Epoch, answer.Index
+	if answer.Version < f.version {
+		// The relay has yet to learn what this host has read itself.
+		return true
+	}
 	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole)
 	return true
 }
