--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -357,7 +357,8 @@
 			a.waiting[id], _ = (&member{report: r}).peer(id)
 		}
 	}
-	for _, s := range a.host.lender.Ask(ctx, slices.Collect(maps.Values(a.waiting)), voteTimeout) {
+	notice := &peering.Notice{Group: a.group, Version: a.version, Record: a.record}
+	for _, s := range a.host.lender.Ask(ctx, slices.Collect(maps.Values(a.waiting)), notice, voteTimeout) {
 		if slices.Contains(s.Accepted, peering.Acceptance{Group: a.group, Version: a.version}) {
 			delete(a.waiting, s.Host)
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -117,6 +117,11 @@
 	}
 	defer stopRelay()
 	h.lender.State = h.state
+	h.lender.Learn = func(n peering.Notice) {
+		if h.applyTenure(n.Group, n.Record, n.Version) {
+			h.reconfigure()
+		}
+	}
 	stopLoans, err := h.lender.Listen(h.Settings.Peer)
 	if err != nil {
 		return fmt.Errorf("loans: %w", err)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -32,6 +32,9 @@
 	// unprovenAge is the age at which a state is read again whose age does not
 	// matter otherwise.
 	unprovenAge = 15 * time.Second
+	// detourTime is how long a host without the store follows other zones before
+	// it asks the store again.
+	detourTime = 3 * time.Second
 	// distrustTime is how long a relay that failed is not followed.
 	distrustTime = 4 * time.Second
 	// maxRelayed bounds an answer of a relay, in bytes.
@@ -40,8 +43,10 @@
 )
 
 // relayFor returns the host to follow: the first of the zone in the order of
-// names that has not failed recently. It returns false for that host itself.
-func (h *Host) relayFor() (peering.Peer, bool) {
+// names that has not failed recently. It returns false for that host itself. With
+// detour, which that host asks for while the store does not answer it, any host
+// of another zone will do, preferably the one that it follows already.
+func (h *Host) relayFor(detour bool, current proxy.HostID) (peering.Peer, bool) {
 	now := h.Clock.Now()
 	b := h.beliefs
 	b.mu.Lock()
@@ -52,10 +57,22 @@
 			first = id
 		}
 	}
-	if first == h.Settings.Host {
+	if first != h.Settings.Host {
+		return b.members[first].peer(first)
+	}
+	if !detour {
 		return peering.Peer{}, false
 	}
-	return b.members[first].peer(first)
+	if m := b.members[current]; m != nil && now >= h.distrusted[current] {
+		return m.peer(current)
+	}
+	for id, m := range b.members {
+		// The order of a map is random, so that the detours are spread.
+		if m.report.Zone != h.Settings.Zone && now >= h.distrusted[id] {
+			return m.peer(id)
+		}
+	}
+	return peering.Peer{}, false
 }
 
 // distrust stops following a relay for a while.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -67,6 +67,9 @@
 	version proxy.Version
 	// proof is the instant as of which the state was known to be complete.
 	proof proxy.Instant
+	// detour is the instant until which hosts of other zones are followed, since
+	// the store does not answer this host.
+	detour proxy.Instant
 	// failing reports that the last call to the store failed.
 	failing bool
 }
@@ -84,14 +87,16 @@
 func (f *follower) run(ctx context.Context) {
 	pause := retryTime
 	for ctx.Err() == nil {
-		if relay, ok := f.host.relayFor(); ok {
+		if relay, ok := f.host.relayFor(f.host.Clock.Now() < f.detour, f.relay); ok {
 			if !f.follow(ctx, relay) && !timing.Sleep(ctx, hopTime) {
 				return
 			}
 			continue
 		}
-		f.relay = ""
 		err := f.step(ctx)
+		if err != nil && !errors.Is(err, proxy.ErrHistoryGone) {
+			f.detour = f.host.Clock.Now().Add(detourTime)
+		}
 		f.note(err)
 		switch {
 		case err == nil:
@@ -270,14 +275,14 @@
 	}
 }
 
-// applyTenure notes a version of a group's record.
-func (h *Host) applyTenure(id proxy.GroupID, r succession.Record, version proxy.Version) {
+// applyTenure notes a version of a group's record and reports whether it is new.
+func (h *Host) applyTenure(id proxy.GroupID, r succession.Record, version proxy.Version) bool {
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.tenures[id]
 	if old != nil && old.version >= version {
-		return
+		return false
 	}
 	t := &tenure{record: r, version: version, seen: h.Clock.Now()}
 	if old != nil {
@@ -294,6 +299,7 @@
 	h.Log.Info().Str("group", string(id)).Str("primary", string(r.Primary)).Str("phase", string(r.Phase)).
 		Str("conductor", string(r.Host)).Bool("planned", r.Planned).Uint64("version", uint64(version)).
 		Msg("leadership changed")
+	return true
 }
 
 func (h *Host) runInstances(ctx context.Context) {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -18,6 +18,7 @@
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
 )
 
 const (
@@ -37,6 +38,16 @@
 	Loans   []loan `cbor:"3,keyasint,omitempty"`
 	// State is the answer to a request without loans.
 	State *State `cbor:"4,keyasint,omitempty"`
+	// Notice comes with such a request.
+	Notice *Notice `cbor:"5,keyasint,omitempty"`
+}
+
+// Notice tells a host of a version of a group's record that the store has
+// acknowledged, since the host may not reach the store.
+type Notice struct {
+	Group   proxy.GroupID     `cbor:"1,keyasint"`
+	Version proxy.Version     `cbor:"2,keyasint"`
+	Record  succession.Record `cbor:"3,keyasint"`
 }
 
 // State is what a host tells others of itself.
@@ -68,6 +79,11 @@
 	if m.Request == 0 || len(m.Loans) > maxNeeds {
 		return eris.Errorf("message %d with %d loans", m.Request, len(m.Loans))
 	}
+	if m.Notice != nil {
+		if err := m.Notice.Record.Validate(); err != nil {
+			return fmt.Errorf("notice: %w", err)
+		}
+	}
 	for _, l := range m.Loans {
 		if l.Tokens < 0 || l.Left < 0 {
 			return eris.Errorf("loan of %d tokens, %d left", l.Tokens, l.Left)
@@ -94,6 +110,8 @@
 	Random func() uint64
 	// State returns what the host tells others of itself.
 	State func() State
+	// Learn takes a notice.
+	Learn func(Notice)
 
 	conn *net.UDPConn
 	mu   sync.Mutex
@@ -183,6 +201,9 @@
 		case m.Answer:
 			l.receive(m)
 		case len(m.Loans) == 0:
+			if m.Notice != nil {
+				l.Learn(*m.Notice)
+			}
 			state := l.State()
 			l.send(message{Request: m.Request, Answer: true, State: &state}, from)
 		default:
@@ -256,8 +277,8 @@
 }
 
 // Ask asks hosts for their state and returns the answers that arrive within
-// timeout.
-func (l *Lender) Ask(ctx context.Context, peers []Peer, timeout time.Duration) []State {
+// timeout. Notice may be nil.
+func (l *Lender) Ask(ctx context.Context, peers []Peer, notice *Notice, timeout time.Duration) []State {
 	answers := make(chan State, len(peers))
 	numbers := make([]uint64, 0, len(peers))
 	l.mu.Lock()
@@ -268,7 +289,7 @@
 	}
 	l.mu.Unlock()
 	for n, p := range peers {
-		l.send(message{Request: numbers[n]}, p.Address)
+		l.send(message{Request: numbers[n], Notice: notice}, p.Address)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
