Emulate the platform's store, promote call and line protocol; test whole hosts against it

The tests run several hosts in one process against the emulated deployment: own reads, transactions, prepared statements, withdrawn keys, a crashed and a leaving primary, rates over hosts, a store that is away or forgets its history, a graceful stop, bad messages.

--- /dev/null
+++ b/internal/emulator/deployment/group.go
@@ -0,0 +1,203 @@
+package deployment
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Group emulates a database group: instances with logs, one of which leads.
+type Group struct {
+	Name string
+	// Lag is how long a replica takes to apply a commit.
+	Lag time.Duration
+	// Connections is the limit of each instance.
+	Connections int
+
+	mu        sync.Mutex
+	store     *Store
+	instances []*Instance
+}
+
+// commit is an entry of a log: the writes of one transaction.
+type commit struct {
+	term   uint64
+	writes []write
+	// visible is when a replica applies it.
+	visible time.Time
+}
+
+type write struct{ item, data string }
+
+// Instance is one instance of a group. Its fields are guarded by the group.
+type Instance struct {
+	ID      string
+	Zone    string
+	Address string
+
+	group       *Group
+	primary     bool
+	term        uint64
+	log         []commit
+	connections int
+	seq         int
+	draining    bool
+	// stopped instances accept nothing and close their connections.
+	stopped bool
+	closers map[*session]func()
+	// Ran counts the statements that ran, by id of the request.
+	ran map[string]int
+}
+
+// position returns the end of the log that is applied at now, in the protocol's
+// form. The caller holds the group's lock.
+func (i *Instance) position(now time.Time) (term uint64, number int) {
+	number = len(i.log)
+	for !i.primary && number > 0 && i.log[number-1].visible.After(now) {
+		number--
+	}
+	term = i.term
+	if number > 0 {
+		term = i.log[number-1].term
+	}
+	return term, number
+}
+
+func (i *Instance) positionText(now time.Time) string {
+	term, number := i.position(now)
+	return fmt.Sprintf("%d.%d", term, number)
+}
+
+// value returns the applied value of an item.
+func (i *Instance) value(item string, now time.Time) string {
+	_, number := i.position(now)
+	for n := number - 1; n >= 0; n-- {
+		for w := len(i.log[n].writes) - 1; w >= 0; w-- {
+			if i.log[n].writes[w].item == item {
+				return i.log[n].writes[w].data
+			}
+		}
+	}
+	return ""
+}
+
+// commit appends a transaction to the primary's log and sends it to the replicas.
+func (g *Group) commit(i *Instance, writes []write) {
+	now := time.Now()
+	c := commit{term: i.term, writes: writes, visible: now.Add(g.Lag)}
+	i.log = append(i.log, c)
+	for _, other := range g.instances {
+		if other != i && !other.primary && !other.stopped && other.term <= i.term {
+			other.term = i.term
+			other.log = append(other.log[:min(len(other.log), len(i.log)-1)], c)
+		}
+	}
+}
+
+// promote makes an instance lead the next term.
+func (g *Group) promote(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var chosen *Instance
+	var term uint64
+	for _, i := range g.instances {
+		term = max(term, i.term)
+		if i.ID == id && !i.stopped {
+			chosen = i
+		}
+	}
+	if chosen == nil {
+		return false
+	}
+	if chosen.primary && chosen.term == term {
+		return true
+	}
+	chosen.primary, chosen.term = true, term+1
+	for _, i := range g.instances {
+		if i == chosen {
+			continue
+		}
+		i.primary = false
+		// Replicas that were ahead are rolled back.
+		i.log = append([]commit(nil), chosen.log...)
+		g.register(i)
+	}
+	g.register(chosen)
+	return true
+}
+
+// register writes an instance's entry.
+func (g *Group) register(i *Instance) {
+	if i.stopped {
+		return
+	}
+	i.seq++
+	role, state := "replica", "ready"
+	if i.primary {
+		role = "primary"
+	}
+	if i.draining {
+		state = "draining"
+	}
+	// Encoding a map of plain values cannot fail.
+	_ = g.store.Put("servers", i.ID, map[string]any{
+		"service": g.Name, "address": i.Address, "zone": i.Zone, "version": "v1", "capacity": 2,
+		"state": state, "warmup_left_ms": 0, "db_role": role, "seq": i.seq,
+	})
+}
+
+// Primary returns the id of the instance that leads the newest term.
+func (g *Group) Primary() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	leader := ""
+	var term uint64
+	for _, i := range g.instances {
+		if i.primary && !i.stopped && i.term >= term {
+			leader, term = i.ID, i.term
+		}
+	}
+	return leader
+}
+
+// Crash stops an instance for good; its entry goes with it.
+func (g *Group) Crash(id string) {
+	g.mu.Lock()
+	var closers []func()
+	for _, i := range g.instances {
+		if i.ID == id {
+			i.stopped = true
+			for _, closer := range i.closers {
+				closers = append(closers, closer)
+			}
+		}
+	}
+	g.mu.Unlock()
+	for _, closer := range closers {
+		closer()
+	}
+	g.store.Delete("servers", id)
+}
+
+// Drain lets an instance report that it is about to leave.
+func (g *Group) Drain(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID == id {
+			i.draining = true
+			g.register(i)
+		}
+	}
+}
+
+// Runs returns how often statements of a request ran on the group's instances.
+func (g *Group) Runs(request string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := 0
+	for _, i := range g.instances {
+		runs += i.ran[request]
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/entry/whole_test.go
@@ -0,0 +1,390 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
+	"github.com/auburnyoke/auburnyoke/internal/entry"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/platform"
+)
+
+// patience bounds the waits for a state. It decides nothing: a test that reaches
+// it has failed for another reason than speed.
+const patience = 60 * time.Second
+
+var tenants = []deployment.Tenant{
+	{Name: "clerks", Keys: []string{"key-clerks", "key-spare"}, Rate: 100000, Burst: 100000},
+	{Name: "buyers", Keys: []string{"key-buyers"}, Rate: 100000, Burst: 100000},
+}
+
+// whole is an emulated deployment with hosts in this process.
+type whole struct {
+	*deployment.Deployment
+	t     *testing.T
+	hosts []entry.Settings
+	stops []func()
+}
+
+func start(t *testing.T, hosts int) *whole {
+	t.Helper()
+	is := is.New(t)
+	zones := []string{"gondar", "woldia"}
+	d, stop, err := deployment.Start([]string{"ledger"}, zones, 5*time.Millisecond, 8)
+	is.NoErr(err)
+	t.Cleanup(stop)
+	is.NoErr(d.Configure(1, tenants))
+	w := &whole{Deployment: d, t: t}
+	for n := range hosts {
+		w.startHost(fmt.Sprintf("host-%d", n), zones[n%2])
+	}
+	for _, h := range w.hosts {
+		w.await(h, "ledger-strict", "READ warm")
+		w.await(h, "ledger-own", "READ warm")
+		w.awaitAllowance(h)
+	}
+	return w
+}
+
+func (w *whole) startHost(name, zone string) {
+	w.t.Helper()
+	is := is.New(w.t)
+	addresses := freeAddresses(w.t, 3)
+	s := entry.Settings{
+		Host: proxy.HostID(name), Zone: proxy.Zone(zone), Listen: addresses[0], Ready: addresses[1],
+		Peer: netip.MustParseAddrPort(addresses[2]), Store: w.StoreAddress, Orders: w.OrdersAddress,
+		Withdrawal: 5 * time.Second, Apply: 3 * time.Second, Drain: 7 * time.Second, Grace: 3 * time.Second,
+	}
+	is.NoErr(s.Validate())
+	store, closeStore := platform.NewStore(s.Store)
+	orders, closeOrders := platform.NewOrders(s.Orders)
+	host := &entry.Host{
+		Settings: s, Log: zerolog.Nop(), Clock: entry.BootClock{}, Store: store, Promoter: orders,
+		Dialer: platform.NewDialer(), Decode: platform.Decoders(),
+		Client:  func(conn net.Conn) entry.Client { return platform.NewCaller(conn) },
+		Metrics: entry.NewMetrics(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	w.hosts = append(w.hosts, s)
+	w.stops = append(w.stops, cancel)
+	w.t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-ended)
+		closeStore()
+		closeOrders()
+	})
+}
+
+// freeAddresses returns addresses on loopback that nothing listens on.
+func freeAddresses(t *testing.T, number int) []string {
+	t.Helper()
+	is := is.New(t)
+	addresses := make([]string, number)
+	for n := range addresses {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = listener.Close() }()
+		addresses[n] = listener.Addr().String()
+	}
+	return addresses
+}
+
+// client is a client of the line protocol.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+	next int
+}
+
+func dial(host entry.Settings, database, key string) (*client, string) {
+	conn, err := net.Dial("tcp4", host.Listen)
+	if err != nil {
+		return nil, "no connection"
+	}
+	c := &client{conn: conn, in: bufio.NewReader(conn)}
+	_, _ = fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return nil, "cut"
+	}
+	return c, strings.TrimSpace(line)
+}
+
+// query returns the lines of the answer, joined by a bar.
+func (c *client) query(text string) string {
+	c.next++
+	return c.queryAs(fmt.Sprintf("r%d", c.next), text)
+}
+
+func (c *client) queryAs(id, text string) string {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return "cut"
+	}
+	var lines []string
+	for {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			return "cut"
+		}
+		lines = append(lines, strings.TrimSpace(line))
+		if strings.HasPrefix(line, "READY") {
+			return strings.Join(lines, "|")
+		}
+	}
+}
+
+func (c *client) close() { _ = c.conn.Close() }
+
+// await repeats a query in new sessions until it succeeds.
+func (w *whole) await(host entry.Settings, database, text string) {
+	w.t.Helper()
+	w.awaitAnswer(host, database, text, "COMPLETE ")
+}
+
+func (w *whole) awaitAnswer(host entry.Settings, database, text, want string) {
+	w.t.Helper()
+	answer := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c, hello := dial(host, database, "key-clerks")
+		if answer = hello; c == nil {
+			continue
+		}
+		if strings.HasPrefix(hello, "READY") {
+			answer = c.query(text)
+		}
+		c.close()
+		if strings.Contains(answer, want) {
+			return
+		}
+	}
+	w.t.Fatalf("%s on %s: last answer %q, want %q", text, database, answer, want)
+}
+
+// awaitAllowance waits until the host's buckets, which start empty, have filled.
+func (w *whole) awaitAllowance(host entry.Settings) {
+	w.t.Helper()
+	is := is.New(w.t)
+	c, hello := dial(host, "ledger-strict", "key-clerks")
+	is.Equal(hello, "READY I -")
+	defer c.close()
+	const enough = 100
+	end := time.Now().Add(patience)
+	for served := 0; served < enough; served++ {
+		is.True(time.Now().Before(end))
+		if !strings.HasPrefix(c.query("READ warm"), "DATAROW") {
+			served = -1
+		}
+	}
+}
+
+func (w *whole) session(host int, database string) *client {
+	w.t.Helper()
+	is := is.New(w.t)
+	c, hello := dial(w.hosts[host], database, "key-clerks")
+	is.Equal(hello, "READY I -")
+	w.t.Cleanup(c.close)
+	return c
+}
+
+// Guards against reads that miss an acknowledged write: of any session on strict
+// routes, of their own session elsewhere.
+func TestReadsSeeWrites(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	writer, other, own := w.session(0, "ledger-strict"), w.session(1, "ledger-strict"), w.session(1, "ledger-own")
+	for n := range 20 {
+		is.True(strings.HasPrefix(writer.query(fmt.Sprintf("WRITE a v%d", n)), "COMPLETE i-"))
+		is.True(strings.HasPrefix(other.query("READ a"), fmt.Sprintf("DATAROW v%d|COMPLETE i-", n)))
+		is.True(strings.HasPrefix(own.query(fmt.Sprintf("WRITE b v%d", n)), "COMPLETE i-"))
+		is.True(strings.HasPrefix(own.query("READ b"), fmt.Sprintf("DATAROW v%d|COMPLETE i-", n)))
+	}
+}
+
+// Guards against transactions whose parts take effect alone, and against wrong
+// states.
+func TestTransactions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	c := w.session(0, "ledger-strict")
+	is.Equal(c.query("BEGIN")[:14], "COMPLETE -|REA")
+	is.True(strings.Contains(c.query("WRITE t one"), "READY T"))
+	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW one")
+	is.True(strings.Contains(c.query("ROLLBACK"), "READY I"))
+	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW")
+	c.query("BEGIN")
+	c.query("WRITE t two")
+	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
+	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW two")
+	c.query("BEGIN READ")
+	is.True(strings.HasPrefix(c.query("WRITE t three"), "ERROR READONLY"))
+	is.True(strings.HasPrefix(c.query("READ t"), "ERROR MALFORMED"))
+	is.True(strings.HasPrefix(c.query("COMMIT"), "ERROR ABORTED"))
+	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW two")
+}
+
+// Guards against prepared statements of one session that another one runs, and
+// against names that are unknown on the connection that a session gets.
+func TestPreparedStatementsFollowTheirSession(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	reader, writer := w.session(0, "ledger-strict"), w.session(0, "ledger-strict")
+	is.True(strings.HasPrefix(reader.query("PARSE s READ q1"), "COMPLETE -"))
+	is.True(strings.HasPrefix(writer.query("PARSE s WRITE q2"), "COMPLETE -"))
+	for n := range 10 {
+		is.True(strings.HasPrefix(writer.query(fmt.Sprintf("EXECUTE s p v%d", n)), "COMPLETE i-"))
+		is.Equal(strings.Split(reader.query("EXECUTE s p"), "|")[0], fmt.Sprintf("DATAROW v%d", n))
+	}
+	reader.query("CLOSE s")
+	is.True(strings.HasPrefix(reader.query("EXECUTE s p"), "ERROR NOSTMT"))
+}
+
+// Guards against statements of a withdrawn key, on open sessions too, and
+// against refusals of other keys.
+func TestWithdrawnKeyStops(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	open := w.session(1, "ledger-strict")
+	is.True(strings.HasPrefix(open.query("READ a"), "DATAROW"))
+	is.NoErr(w.Configure(2, tenants[1:]))
+	for end := time.Now().Add(patience); !strings.HasPrefix(open.query("READ a"), "ERROR AUTHFAIL"); {
+		is.True(time.Now().Before(end))
+	}
+	is.True(strings.HasPrefix(open.queryAs("withdrawn", "READ a"), "ERROR AUTHFAIL"))
+	is.Equal(w.Groups[0].Runs("withdrawn"), 0)
+	c, hello := dial(w.hosts[1], "ledger-strict", "key-buyers")
+	is.Equal(hello, "READY I -")
+	defer c.close()
+	is.True(strings.HasPrefix(c.query("READ a"), "DATAROW"))
+	_, hello = dial(w.hosts[1], "no-such", "key-buyers")
+	is.True(strings.HasPrefix(hello, "ERROR NODB"))
+}
+
+// Guards against a group without a primary after its primary has crashed, and
+// against the loss of what the replicas had received.
+func TestPrimaryIsReplacedAfterACrash(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 3)
+	c := w.session(0, "ledger-strict")
+	is.True(strings.HasPrefix(c.query("WRITE a before"), "COMPLETE i-"))
+	old := w.Groups[0].Primary()
+	w.Groups[0].Crash(old)
+	for _, h := range w.hosts {
+		w.awaitAnswer(h, "ledger-strict", "READ a", "DATAROW before|COMPLETE i-")
+	}
+	w.await(w.hosts[1], "ledger-strict", "WRITE a after")
+	is.True(w.Groups[0].Primary() != old)
+	is.Equal(w.Promotions.Load(), int64(1))
+}
+
+// Guards against a planned replacement that loses commits or leaves the leaving
+// primary in use.
+func TestLeavingPrimaryIsReplaced(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	c := w.session(0, "ledger-strict")
+	is.True(strings.HasPrefix(c.query("WRITE a before"), "COMPLETE i-"))
+	old := w.Groups[0].Primary()
+	w.Groups[0].Drain(old)
+	for end := time.Now().Add(patience); w.Groups[0].Primary() == old; time.Sleep(20 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ a", "DATAROW before|COMPLETE i-")
+	w.await(w.hosts[1], "ledger-strict", "WRITE a after")
+}
+
+// Guards against more operations of an account than its rate and burst, however
+// many hosts it uses at once.
+func TestRateHoldsOverHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 3)
+	limited := []deployment.Tenant{{Name: "clerks", Keys: []string{"key-clerks"}, Rate: 0.001, Burst: 30}}
+	is.NoErr(w.Configure(2, limited))
+	admitted := 0
+	for round := range 60 {
+		for host := range w.hosts {
+			c := w.session(host, "ledger-strict")
+			id := fmt.Sprintf("limited-%d-%d", round, host)
+			c.queryAs(id, "READ a")
+			admitted += w.Groups[0].Runs(id)
+			c.close()
+		}
+	}
+	// The first operations may precede the version.
+	is.True(w.Groups[0].Runs("limited-59-0") == 0)
+	is.True(admitted < 120)
+}
+
+// Guards against statements that run on a configuration which nobody has
+// confirmed for longer than a withdrawn key may work.
+func TestUnconfirmedHostRefuses(t *testing.T) {
+	t.Parallel()
+	w := start(t, 2)
+	w.Store.SetDown(true)
+	w.awaitAnswer(w.hosts[0], "ledger-strict", "READ a", "ERROR BUSY")
+	w.awaitAnswer(w.hosts[0], "ledger-own", "READ a", "ERROR BUSY configuration is not confirmed")
+	w.Store.SetDown(false)
+	w.await(w.hosts[0], "ledger-strict", "READ a")
+}
+
+// Guards against hosts that stop following changes once the history is gone.
+func TestChangesAfterCompaction(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	w.Store.Compact()
+	is.NoErr(w.Configure(2, tenants[1:]))
+	for _, h := range w.hosts {
+		w.awaitAnswer(h, "ledger-strict", "READ a", "ERROR AUTHFAIL")
+	}
+}
+
+// Guards against a stop that cuts an open transaction.
+func TestStopLetsTransactionsEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	c, idle := w.session(0, "ledger-strict"), w.session(0, "ledger-strict")
+	c.query("BEGIN")
+	is.True(strings.HasPrefix(c.query("WRITE s one"), "COMPLETE i-"))
+	w.stops[0]()
+	_, err := idle.in.ReadString('\n')
+	is.True(err != nil) // the idle session is closed
+	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
+	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
+}
+
+// Guards against messages that disturb other sessions or get no answer.
+func TestBadMessages(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	good := w.session(0, "ledger-strict")
+	for _, text := range []string{"", "NONSENSE", "READ", "BEGIN WRITE", "PARSE s", "PARSE s UPDATE q", "COMMIT", "EXECUTE none a"} {
+		c := w.session(0, "ledger-strict")
+		is.True(strings.HasPrefix(c.query(text), "ERROR "))
+		is.True(strings.HasPrefix(c.query("READ a"), "DATAROW"))
+	}
+	large := w.session(0, "ledger-strict")
+	answer := large.query("READ " + strings.Repeat("x", 1<<20+10))
+	is.True(strings.HasPrefix(answer, "ERROR TOOLARGE") || answer == "cut")
+	is.True(strings.HasPrefix(good.query("READ a"), "DATAROW"))
+}
