Refuse at once what a new primary cannot serve in time

Cause: while a primary was replaced, operations waited to the end of their time though the replacement was known to take longer.

--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -15,12 +15,18 @@
 // request and for clock rates that differ by 1%.
 const proofMargin = 200 * time.Millisecond
 
+// assumedVacancy is how long a replacement is expected to take before one was
+// seen: the platform's usual second and the way of the record.
+const assumedVacancy = 1200 * time.Millisecond
+
 // tenure is a group's leadership as last read from the store.
 type tenure struct {
 	record  succession.Record
 	version proxy.Version
 	// base is the version of the record that a replacement started from.
 	base proxy.Version
+	// began is when the host learned that the primary is being replaced.
+	began proxy.Instant
 	// seen is when the host learned of this version.
 	seen proxy.Instant
 	// working counts operations on the primary that may still write.
@@ -51,6 +57,8 @@
 	// configuration and the tenures are current.
 	configured, led proxy.Instant
 	tenures         map[proxy.GroupID]*tenure
+	// vacancy is how long the last replacement took.
+	vacancy time.Duration
 	instances       map[proxy.InstanceID]*listed
 	histories       map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
@@ -66,6 +74,7 @@
 
 func newBeliefs() *beliefs {
 	return &beliefs{
+		vacancy:   assumedVacancy,
 		tenures:   make(map[proxy.GroupID]*tenure),
 		instances: make(map[proxy.InstanceID]*listed),
 		histories: make(map[proxy.GroupID]*freshness.History),
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -248,8 +248,9 @@
 		members = append(members, dispatch.Member{Instance: i.Instance, Share: share})
 	}
 	leaders := make(map[proxy.GroupID]proxy.InstanceID, len(b.tenures))
+	vacant := make(map[proxy.GroupID]proxy.Instant)
 	for id, t := range b.tenures {
-		leaders[id] = ""
+		leaders[id], vacant[id] = "", t.began.Add(b.vacancy)
 		if t.record.Phase == succession.Settled {
 			leaders[id] = t.record.Primary
 		}
@@ -259,7 +260,7 @@
 	closeAll(h.table.Update(now, members))
 	h.lender.SetPeers(peers)
 	for id, leader := range leaders {
-		h.table.Lead(now, id, leader)
+		h.table.Lead(now, id, leader, vacant[id])
 	}
 	if configuration != nil && len(names) > 0 {
 		h.allowances.Configure(now, configuration.Accounts, names, counted)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -287,9 +287,12 @@
 	t := &tenure{record: r, version: version, seen: h.Clock.Now()}
 	if old != nil {
 		t.working = old.working
-		t.base = old.version
+		t.base, t.began = old.version, t.seen
 		if old.record.Phase == succession.Replacing {
-			t.base, t.accepted = old.base, old.accepted && r.Phase == succession.Replacing
+			t.base, t.began, t.accepted = old.base, old.began, old.accepted && r.Phase == succession.Replacing
+			if r.Phase == succession.Settled {
+				b.vacancy = t.seen.Sub(old.began)
+			}
 		}
 	}
 	b.tenures[id] = t
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -131,8 +131,10 @@
 }
 
 type group struct {
-	// leader is empty while the group has no usable primary.
+	// leader is empty while the group has no usable primary, which is expected
+	// until vacant.
 	leader    proxy.InstanceID
+	vacant    proxy.Instant
 	instances []*instance
 	waiters   []*Waiter
 }
@@ -226,11 +228,13 @@
 	return g
 }
 
-// Lead sets a group's primary; empty while there is none.
-func (t *Table) Lead(now proxy.Instant, id proxy.GroupID, leader proxy.InstanceID) {
+// Lead sets a group's primary; empty while there is none, which is expected to
+// last until vacant.
+func (t *Table) Lead(now proxy.Instant, id proxy.GroupID, leader proxy.InstanceID, vacant proxy.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.group(id).leader = leader
+	g := t.group(id)
+	g.leader, g.vacant = leader, vacant
 	t.serve(now, id)
 }
 
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -29,7 +29,7 @@
 	}
 	w := &Waiter{want: want, arrived: now, granted: make(chan Grant, 1)}
 	if wait := t.expectedWait(now, g, w); now.Add(wait) > want.Expires {
-		return Grant{}, nil, &proxy.Failure{Code: proxy.Busy, Text: "queue is longer than the time left", RetryAfter: wait}
+		return Grant{}, nil, &proxy.Failure{Code: proxy.Busy, Text: "expected wait is longer than the time left", RetryAfter: wait}
 	}
 	g.waiters = append(g.waiters, w)
 	return Grant{}, w, nil
@@ -50,8 +50,12 @@
 	}
 }
 
-// expectedWait estimates how long an operation waits behind those that go first.
+// expectedWait estimates how long an operation waits: for a new primary, or
+// behind those that go first.
 func (t *Table) expectedWait(now proxy.Instant, g *group, w *Waiter) time.Duration {
+	if w.want.Primary && g.leader == "" {
+		return max(g.vacant.Sub(now), 0)
+	}
 	ahead := 1
 	for _, other := range g.waiters {
 		if precedes(now, other, w) && other.want.Primary == w.want.Primary {
