--- /dev/null
+++ b/pkg/proxy/dispatch/dispatch_test.go
@@ -0,0 +1,261 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/dispatch"
+)
+
+const group proxy.GroupID = "ledger"
+
+// link is a connection that is never used.
+type link struct{ closed bool }
+
+func (*link) Exchange(time.Duration, ...proxy.Order) ([]proxy.Answer, error) { return nil, nil }
+func (l *link) Close()                                                       { l.closed = true }
+
+func newTable(instances, share int) *dispatch.Table {
+	table := &dispatch.Table{Zone: "gondar"}
+	var members []dispatch.Member
+	for n := range instances {
+		members = append(members, dispatch.Member{
+			Instance: directory.Instance{
+				ID: proxy.InstanceID(fmt.Sprintf("i%d", n)), Group: group, Zone: "gondar", Slots: 2, Primary: n == 0,
+			},
+			Share: share,
+		})
+	}
+	table.Update(0, members)
+	table.Lead(0, group, "i0", 0)
+	return table
+}
+
+func want(account proxy.AccountID, due, expires time.Duration) dispatch.Want {
+	return dispatch.Want{
+		Group: group, Account: account, Due: proxy.Instant(due), Expires: proxy.Instant(expires),
+	}
+}
+
+// Guards against more connections than the host's part, more statements on an
+// instance than its slots, a connection lent twice or to another account, and
+// connections that are neither lent nor idle nor closed.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(1, 3).Draw(t, "share")
+		table := newTable(3, share)
+		accounts := []proxy.AccountID{"a", "b", "c", "d"}
+		lent := map[*dispatch.Connection]bool{}
+		alive := map[*link]proxy.InstanceID{}
+		var waiters []*dispatch.Waiter
+		var now proxy.Instant
+		take := func(g dispatch.Grant) {
+			for _, l := range g.Evicted {
+				delete(alive, l.(*link))
+			}
+			if lent[g.Connection] {
+				t.Fatal("connection lent twice")
+			}
+			lent[g.Connection] = true
+			if g.Connection.Link == nil {
+				l := &link{}
+				g.Connection.Link = l
+				alive[l] = g.Connection.Instance
+			}
+		}
+		collect := func() {
+			var left []*dispatch.Waiter
+			for _, w := range waiters {
+				select {
+				case g := <-w.Granted():
+					take(g)
+				default:
+					left = append(left, w)
+				}
+			}
+			waiters = left
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "ask") || len(lent) == 0 {
+				w := want(rapid.SampledFrom(accounts).Draw(t, "account"), time.Hour, time.Hour)
+				w.Primary = rapid.Bool().Draw(t, "primary")
+				grant, waiter, _ := table.Acquire(now, w)
+				if waiter != nil {
+					waiters = append(waiters, waiter)
+				} else if grant.Connection != nil {
+					take(grant)
+				}
+			} else {
+				for c := range lent {
+					delete(lent, c)
+					if rapid.Bool().Draw(t, "broken") {
+						delete(alive, c.Link.(*link))
+						table.Discard(now, c, dispatch.Reason(rapid.IntRange(0, 2).Draw(t, "reason")))
+					} else {
+						for _, l := range table.Return(now, c) {
+							delete(alive, l.(*link))
+						}
+					}
+					break
+				}
+			}
+			collect()
+			running := map[proxy.InstanceID]int{}
+			for c := range lent {
+				running[c.Instance]++
+			}
+			open := map[proxy.InstanceID]int{}
+			for _, id := range alive {
+				open[id]++
+			}
+			for id := range running {
+				if running[id] > 2 || open[id] > share {
+					t.Fatalf("instance %s: %d running, %d open of %d", id, running[id], open[id], share)
+				}
+			}
+		}
+	})
+}
+
+// Guards against urgent operations behind others, and against operations that
+// can still be in time behind late ones.
+func TestOrderOfWaiting(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1, 2)
+	var held []*dispatch.Connection
+	for range 2 {
+		grant, _, _ := table.Acquire(0, want("a", time.Hour, time.Hour))
+		held = append(held, grant.Connection)
+	}
+	add := func(priority int, due time.Duration) *dispatch.Waiter {
+		w := want("a", due, time.Hour)
+		w.Priority = priority
+		_, waiter, failure := table.Acquire(0, w)
+		is.True(failure == nil)
+		return waiter
+	}
+	late, ordinary, urgent := add(0, time.Millisecond), add(2, time.Second), add(1, 2*time.Second)
+	now := proxy.Instant(100 * time.Millisecond)
+	for _, expected := range []*dispatch.Waiter{urgent, ordinary, late} {
+		table.Return(now, held[0])
+		grant := <-expected.Granted()
+		held[0] = grant.Connection
+	}
+}
+
+// Guards against operations that wait though they are known not to be served in
+// time: behind a long queue, and while a primary is being replaced.
+func TestUnservableIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1, 2)
+	for range 2 {
+		_, _, failure := table.Acquire(0, want("a", time.Second, time.Second))
+		is.True(failure == nil)
+	}
+	waiting := 0
+	for range 1000 {
+		_, waiter, failure := table.Acquire(0, want("a", time.Second, 200*time.Millisecond))
+		if failure != nil {
+			is.Equal(failure.Code, proxy.Busy)
+			is.True(failure.RetryAfter > 0)
+			break
+		}
+		is.True(waiter != nil)
+		waiting++
+	}
+	is.True(waiting > 0 && waiting < 100)
+
+	table.Lead(0, group, "", proxy.Instant(time.Second))
+	w := want("a", time.Second, 500*time.Millisecond)
+	w.Primary = true
+	_, _, failure := table.Acquire(0, w)
+	is.True(failure != nil)
+	is.Equal(failure.RetryAfter, time.Second)
+}
+
+// Plays a primary that serves two statements at once in 14 ms and gets 160
+// operations a second, a tenth more than it can serve, due within 250 ms.
+// Guards against a queue in which all operations are late: most callers must be
+// answered within their goal.
+func TestOverloadKeepsMostInTime(t *testing.T) {
+	is := is.New(t)
+	const work, goal, wait = 14 * time.Millisecond, 250 * time.Millisecond, 740 * time.Millisecond
+	table := newTable(1, 2)
+	random := rand.New(rand.NewPCG(1, 2))
+	type running struct {
+		c    *dispatch.Connection
+		ends proxy.Instant
+		due  proxy.Instant
+	}
+	type waiting struct {
+		w   *dispatch.Waiter
+		due proxy.Instant
+	}
+	var active []running
+	var queue []waiting
+	asked, inTime, late, refused := 0, 0, 0, 0
+	begin := func(now proxy.Instant, g dispatch.Grant, due proxy.Instant) {
+		if g.Connection.Link == nil {
+			g.Connection.Link = &link{}
+		}
+		active = append(active, running{g.Connection, now.Add(work), due})
+	}
+	next := proxy.Instant(0)
+	for now := proxy.Instant(0); now < proxy.Instant(20*time.Second); now = now.Add(time.Millisecond) {
+		for n := 0; n < len(active); n++ {
+			if active[n].ends > now {
+				continue
+			}
+			if now <= active[n].due {
+				inTime++
+			} else {
+				late++
+			}
+			table.Return(now, active[n].c)
+			active = append(active[:n], active[n+1:]...)
+			n--
+		}
+		for n := 0; n < len(queue); n++ {
+			select {
+			case g := <-queue[n].w.Granted():
+				begin(now, g, queue[n].due)
+				queue = append(queue[:n], queue[n+1:]...)
+				n--
+			default:
+				if now >= queue[n].due.Add(wait-goal) {
+					table.Cancel(group, queue[n].w)
+					refused++
+					queue = append(queue[:n], queue[n+1:]...)
+					n--
+				}
+			}
+		}
+		for next <= now {
+			next = next.Add(time.Duration(random.ExpFloat64() * float64(time.Second) / 160))
+			asked++
+			due := now.Add(goal)
+			g, w, failure := table.Acquire(now, dispatch.Want{
+				Group: group, Account: "a", Primary: true, Due: due, Expires: now.Add(wait),
+			})
+			switch {
+			case failure != nil:
+				refused++
+			case w != nil:
+				queue = append(queue, waiting{w, due})
+			default:
+				begin(now, g, due)
+			}
+		}
+	}
+	t.Logf("asked %d, in time %d, late %d, refused %d", asked, inTime, late, refused)
+	is.True(inTime*100 >= asked*80)                    // capacity is 89% of the load
+	is.True(inTime+late+refused >= asked-len(queue)-2) // every caller gets an answer
+}
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -58,7 +58,7 @@
 	}
 	ahead := 1
 	for _, other := range g.waiters {
-		if precedes(now, other, w) && other.want.Primary == w.want.Primary {
+		if !g.precedes(now, w, other) && other.want.Primary == w.want.Primary {
 			ahead++
 		}
 	}
@@ -75,11 +75,12 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// precedes orders waiting operations: those that can still be answered in time
-// first, then by priority, then by the instant at which they are due. An
-// operation that is late already gains little from going first.
-func precedes(now proxy.Instant, a, b *Waiter) bool {
-	if lateA, lateB := now > a.want.Due, now > b.want.Due; lateA != lateB {
+// precedes orders waiting operations: those that can still be answered in time,
+// if they are sent at now and take as long as usual, then by priority, then by
+// the instant at which they are due. An operation that will be late gains little
+// from going first, and costs the next one its time.
+func (g *group) precedes(now proxy.Instant, a, b *Waiter) bool {
+	if lateA, lateB := now.Add(g.usual(a)) > a.want.Due, now.Add(g.usual(b)) > b.want.Due; lateA != lateB {
 		return lateB
 	}
 	if a.want.Priority != b.want.Priority {
@@ -88,6 +89,21 @@
 	return a.want.Due < b.want.Due
 }
 
+// usual returns how long a statement of the operation usually takes on the
+// fastest instance that may run it.
+func (g *group) usual(w *Waiter) time.Duration {
+	var shortest time.Duration
+	for _, at := range g.instances {
+		if w.want.Primary && at.ID != g.leader {
+			continue
+		}
+		if shortest == 0 || at.delay < shortest {
+			shortest = at.delay
+		}
+	}
+	return shortest
+}
+
 // serve lends connections to the waiting operations of a group.
 func (t *Table) serve(now proxy.Instant, id proxy.GroupID) {
 	g := t.group(id)
@@ -95,10 +111,10 @@
 		return
 	}
 	slices.SortStableFunc(g.waiters, func(a, b *Waiter) int {
-		if precedes(now, a, b) {
+		if g.precedes(now, a, b) {
 			return -1
 		}
-		if precedes(now, b, a) {
+		if g.precedes(now, b, a) {
 			return 1
 		}
 		return 0
