--- a/cmd/auburnyoke/main.go
+++ b/cmd/auburnyoke/main.go
@@ -18,6 +18,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	client := &operator.Client{
+		Input:    os.Stdin,
 		Output:   os.Stdout,
 		Messages: os.Stderr,
 		Now:      time.Now,
--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -58,9 +58,9 @@
 	configured, led proxy.Instant
 	tenures         map[proxy.GroupID]*tenure
 	// vacancy is how long the last replacement took.
-	vacancy time.Duration
-	instances       map[proxy.InstanceID]*listed
-	histories       map[proxy.GroupID]*freshness.History
+	vacancy   time.Duration
+	instances map[proxy.InstanceID]*listed
+	histories map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
 	// registered is when the host's own entry was known to be in the store, and
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -139,6 +139,13 @@
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
 	defer stopReady()
+	stopMetrics, err := h.serveMetrics(ctx)
+	if err != nil {
+		// Callers are served without metrics too.
+		h.Log.Warn().Err(err).Msg("metrics are not served")
+	} else {
+		defer stopMetrics()
+	}
 	h.Log.Info().Str("listen", h.Settings.Listen).Uint64("incarnation", uint64(incarnation)).Msg("host started")
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -15,6 +15,20 @@
 	alpha     = 0.015
 )
 
+// Names of the gauges. Ages are in milliseconds.
+const (
+	gaugeProof       = "configuration.age"
+	gaugeLease       = "leadership.age"
+	gaugeRevision    = "configuration.revision"
+	gaugeHosts       = "hosts.registered"
+	gaugeInstances   = "instances.registered"
+	gaugeLost        = "groups.leaderless"
+	gaugeSessions    = "sessions.open"
+	gaugeWaiting     = "statements.waiting"
+	gaugeRunning     = "statements.running"
+	gaugeConnections = "connections.open"
+)
+
 // Metrics are a host's counters and histograms.
 type Metrics struct {
 	Registry metrics.Registry
@@ -23,6 +37,8 @@
 	codes                                                  map[proxy.Code]metrics.Counter
 	instanceCodes                                          map[proxy.Code]metrics.Counter
 	latency                                                metrics.Histogram
+	// gauges are set when the metrics are read.
+	gauges map[string]metrics.Gauge
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -51,6 +67,14 @@
 		m.register("instances.refused."+code.String(), m.instanceCodes[code])
 	}
 	m.register("statements.latency", m.latency)
+	m.gauges = make(map[string]metrics.Gauge)
+	for _, name := range []string{
+		gaugeProof, gaugeLease, gaugeRevision, gaugeHosts, gaugeInstances, gaugeLost, gaugeSessions,
+		gaugeWaiting, gaugeRunning, gaugeConnections,
+	} {
+		m.gauges[name] = metrics.NewGauge()
+		m.register(name, m.gauges[name])
+	}
 	return m
 }
 
@@ -73,3 +97,31 @@
 
 // rejected counts a statement that an instance refused.
 func (m *Metrics) rejected(code proxy.Code) { m.instanceCodes[code].Inc(1) }
+
+// observe sets the gauges.
+func (h *Host) observe() {
+	now := h.Clock.Now()
+	set := func(name string, value int) { h.Metrics.gauges[name].Update(int64(value)) }
+	waiting, running, open := h.table.Load()
+	set(gaugeWaiting, waiting)
+	set(gaugeRunning, running)
+	set(gaugeConnections, open)
+	set(gaugeSessions, len(h.open.all()))
+	b := h.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	set(gaugeProof, int(now.Sub(b.configured).Milliseconds()))
+	set(gaugeLease, int(now.Sub(b.led).Milliseconds()))
+	set(gaugeHosts, len(b.members))
+	set(gaugeInstances, len(b.instances))
+	if b.configuration != nil {
+		set(gaugeRevision, int(b.configuration.Revision))
+	}
+	leaderless := 0
+	for id := range b.tenures {
+		if _, _, ok := b.leaderLocked(now, id); !ok {
+			leaderless++
+		}
+	}
+	set(gaugeLost, leaderless)
+}
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -18,23 +18,39 @@
 	headerTimeout = 2 * time.Second
 )
 
-// serveReady serves readiness and metrics and returns a function that stops it.
+// serveReady serves readiness and returns a function that stops it.
 func (h *Host) serveReady(ctx context.Context) (func(), error) {
-	var listening net.ListenConfig
-	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Ready)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+readyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !h.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	return serve(ctx, h.Settings.Ready, mux)
+}
+
+// serveMetrics serves metrics and returns a function that stops it. A host
+// without an address for metrics serves none.
+func (h *Host) serveMetrics(ctx context.Context) (func(), error) {
+	if h.Settings.Metrics == "" {
+		return func() {}, nil
+	}
+	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		h.observe()
 		metrics.WriteOnce(h.Metrics.Registry, w)
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return serve(ctx, h.Settings.Metrics, mux)
+}
+
+// serve serves a handler at an address and returns a function that stops it.
+func serve(ctx context.Context, address string, handler http.Handler) (func(), error) {
+	var listening net.ListenConfig
+	listener, err := listening.Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return func() { _ = server.Close() }, nil
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -121,16 +120,9 @@
 // serveRelay answers the followers of this host until the returned function is
 // called.
 func (h *Host) serveRelay(ctx context.Context) (func(), error) {
-	var listening net.ListenConfig
-	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Peer.String())
-	if err != nil {
-		return nil, fmt.Errorf("listen for followers: %w", err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+relayPath, h.answerFollower)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return func() { _ = server.Close() }, nil
+	return serve(ctx, h.Settings.Peer.String(), mux)
 }
 
 func (h *Host) answerFollower(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -18,7 +18,9 @@
 	// readiness; both are address and port.
 	Listen string
 	Ready  string
-	// Peer is where other hosts send their requests, over UDP.
+	// Metrics is where metrics are served; empty for nowhere.
+	Metrics string
+	// Peer is where other hosts send their requests, over TCP and UDP.
 	Peer netip.AddrPort
 	// Store and Orders are the addresses of the platform's store and of the API
 	// that replaces primaries.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -24,6 +24,8 @@
 
 // Client runs the commands. All fields must be set before Run.
 type Client struct {
+	// Input gives logs to explain.
+	Input io.Reader
 	// Output receives results, Messages progress and errors.
 	Output   io.Writer
 	Messages io.Writer
@@ -50,6 +52,7 @@
 	Status     statusCommand     `command:"status" description:"Show on which hosts the document is in force"`
 	Audit      auditCommand      `command:"audit" description:"Show the accepted changes, newest first"`
 	Key        keyCommand        `command:"key" description:"Create and withdraw account keys in a document file"`
+	Explain    explainCommand    `command:"explain" description:"Tell from the hosts' logs what happened to a request"`
 	Completion completionCommand `command:"completion" description:"Print the shell completion script for bash"`
 }
 
--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/internal/story"
+)
+
+type explainCommand struct {
+	Arguments struct {
+		Request string           `positional-arg-name:"ID" required:"1" description:"id of the request"`
+		Files   []flags.Filename `positional-arg-name:"FILE" description:"logs of the hosts; standard input where none is given"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander; the client runs commands itself.
+func (*explainCommand) Execute([]string) error { return nil }
+
+func (c *explainCommand) run(s *session) error {
+	lines, err := c.read(s)
+	if err != nil {
+		return err
+	}
+	told := story.Tell(lines, c.Arguments.Request)
+	if len(told) == 0 {
+		return eris.Errorf("no line of the logs names request %.80q; successful requests are sampled", c.Arguments.Request)
+	}
+	var text strings.Builder
+	for _, line := range told {
+		fmt.Fprintln(&text, line)
+	}
+	return s.show(text.String(), told)
+}
+
+func (c *explainCommand) read(s *session) ([]story.Line, error) {
+	if len(c.Arguments.Files) == 0 {
+		return story.Read(s.Input)
+	}
+	var lines []story.Line
+	for _, name := range c.Arguments.Files {
+		read, err := readLog(string(name))
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
+func readLog(name string) ([]story.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := story.Read(io.Reader(file))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return lines, nil
+}
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -359,3 +359,18 @@
 	c.start(now)
 	return c
 }
+
+// Load returns the numbers of waiting operations, of running statements and of
+// open connections.
+func (t *Table) Load() (waiting, running, open int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups {
+		waiting += len(g.waiters)
+	}
+	for _, at := range t.instances {
+		running += at.running
+		open += at.open
+	}
+	return waiting, running, open
+}
