--- a/cmd/auburnyoke-entry/main.go
+++ b/cmd/auburnyoke-entry/main.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/internal/entry"
@@ -65,6 +66,10 @@
 
 	host, cleanUp := build(settings, log)
 	defer cleanUp()
+	dropped := metrics.NewFunctionalGauge(func() int64 { return int64(output.Dropped()) })
+	if err := host.Metrics.Registry.Register("log.dropped", dropped); err != nil {
+		return fmt.Errorf("register metric: %w", err)
+	}
 	if err := host.Run(ctx); err != nil {
 		return fmt.Errorf("run host: %w", err)
 	}
--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -249,11 +249,14 @@
 	return found
 }
 
-// trust records that an instance has answered.
-func (b *beliefs) trust(id proxy.InstanceID) {
+// trust records that an instance has answered and reports whether it was
+// suspected.
+func (b *beliefs) trust(id proxy.InstanceID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.suspects) > 0 {
-		delete(b.suspects, id)
+	if b.suspects[id] == 0 {
+		return false
 	}
+	delete(b.suspects, id)
+	return true
 }
--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -488,7 +488,7 @@
 		b.suspect(h.Clock.Now(), id)
 		return false
 	}
-	b.trust(id)
+	h.answered(id)
 	return true
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,7 +30,9 @@
 		Priority: op.route.Priority, Due: op.arrived.Add(op.route.Goal), Expires: expires,
 	}
 	for {
+		asked := h.Clock.Now()
 		grant, failure := h.await(want)
+		s.trace.waited += h.Clock.Now().Sub(asked)
 		if failure != nil {
 			return nil, failure
 		}
@@ -82,7 +84,7 @@
 	if err == nil {
 		c.Link = link
 		h.Metrics.opened.Inc(1)
-		h.beliefs.trust(c.Instance)
+		h.answered(c.Instance)
 		h.beliefs.record(sent, c.Group, c.Instance, position)
 		return nil
 	}
@@ -98,11 +100,23 @@
 }
 
 func (h *Host) unreachable(c *dispatch.Connection, err error) {
-	h.beliefs.suspect(h.Clock.Now(), c.Instance)
+	now := h.Clock.Now()
+	h.beliefs.suspect(now, c.Instance)
+	if !h.budget.take(now) {
+		h.Metrics.unlogged.Inc(1)
+		return
+	}
 	h.Log.Warn().Err(err).Str("instance", string(c.Instance)).Str("group", string(c.Group)).
 		Msg("instance did not answer")
 }
 
+// answered notes that an instance has answered.
+func (h *Host) answered(id proxy.InstanceID) {
+	if h.beliefs.trust(id) {
+		h.Log.Info().Str("instance", string(id)).Msg("instance answers again")
+	}
+}
+
 // broken discards a connection whose exchange failed.
 func (h *Host) broken(c *dispatch.Connection, err error) {
 	h.Metrics.broken.Inc(1)
@@ -147,6 +161,8 @@
 	h := s.host
 	orders := append(s.prepare(c, last.Statement), last)
 	sent := h.Clock.Now()
+	s.trace.instance, s.trace.after = c.Instance, last.After
+	s.trace.tries++
 	answers, err := c.Link.Exchange(max(timeout, minExchange), orders...)
 	if err != nil {
 		return proxy.Answer{}, fmt.Errorf("exchange with instance: %w", err)
@@ -157,7 +173,7 @@
 		}
 	}
 	answer := answers[len(answers)-1]
-	h.beliefs.trust(c.Instance)
+	h.answered(c.Instance)
 	h.beliefs.record(sent, c.Group, c.Instance, answer.Position)
 	if answer.Failure != nil && answer.Failure.Code == proxy.UnknownStatement {
 		c.Prepared = make(map[string]string)
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -90,15 +92,40 @@
 		return
 	}
 	c, configured := h.beliefs.current()
-	event := h.Log.Info()
-	event = event.Str("request", string(st.ID)).Uint64("session", s.id).Str("verb", st.Verb.String()).
-		Str("database", s.database).Dur("took", now.Sub(arrived)).Dur("proof", now.Sub(configured))
+	event := s.trace.fields(h.Log.Info()).Str("request", string(st.ID)).Uint64("session", s.id).
+		Str("verb", st.Verb.String()).Str("database", s.database).Dur("took", now.Sub(arrived)).
+		Dur("proof", now.Sub(configured))
 	if c != nil {
 		event = event.Uint64("revision", uint64(c.Revision))
 	}
+	if t := s.transaction; t != nil {
+		event = event.Str("operation", string(t.id))
+	}
 	if answer.Failure != nil {
 		event = event.Str("code", answer.Failure.Code.String()).Str("text", answer.Failure.Text).
 			Dur("retry", answer.Failure.RetryAfter)
 	}
 	event.Msg("request answered")
 }
+
+// fields adds how a statement was decided.
+func (t trace) fields(event *zerolog.Event) *zerolog.Event {
+	if t.tries == 0 && t.waited == 0 {
+		return event
+	}
+	event = event.Str("instance", string(t.instance)).Int("tries", t.tries).Dur("waited", t.waited)
+	if t.after != nil {
+		event = event.Uint64("term", uint64(t.after.Term)).Uint64("after", uint64(t.after.Position))
+	}
+	return event
+}
+
+// noteRetry logs that a statement is sent again, within the budget.
+func (h *Host) noteRetry(s *session, t *try, answer proxy.Answer) {
+	if !h.budget.take(h.Clock.Now()) {
+		h.Metrics.unlogged.Inc(1)
+		return
+	}
+	s.trace.fields(h.Log.Info()).Str("request", string(t.id)).Uint64("session", s.id).
+		Str("text", answer.Failure.Text).Bool("primary", t.primary).Msg("statement retried")
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -28,6 +28,8 @@
 	transaction *transaction
 	// position is that of the last answer of an instance.
 	position *proxy.Bookmark
+	// trace tells the log how the current statement was decided.
+	trace trace
 
 	mu sync.Mutex
 	// serving reports that a statement is being answered.
@@ -35,6 +37,18 @@
 	closed  bool
 }
 
+// trace is what decided a statement.
+type trace struct {
+	// instance is the last one that the statement was sent to, tries the number
+	// of those.
+	instance proxy.InstanceID
+	tries    int
+	// waited is how long the statement waited for connections.
+	waited time.Duration
+	// after is the position that the instance had to hold; nil for none.
+	after *proxy.Bookmark
+}
+
 // operation is one admitted statement or transaction.
 type operation struct {
 	route   directory.Route
@@ -153,6 +167,7 @@
 		if !s.begin() {
 			return
 		}
+		s.trace = trace{}
 		var answer proxy.Answer
 		if failure != nil {
 			answer = s.malformed(failure)
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -53,6 +53,7 @@
 			return answer
 		}
 		s.host.Metrics.retried.Inc(1)
+		s.host.noteRetry(s, t, answer)
 	}
 }
 
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -140,7 +140,7 @@
 		t.connection = c
 		return avoid, nil, false
 	}
-	s.leavePrimary()
+	s.host.leavePrimary(t)
 	if err != nil {
 		h.broken(c, err)
 		return append(avoid, c.Instance), &proxy.Failure{Code: proxy.Aborted, Text: "instance did not answer"}, true
@@ -198,7 +198,7 @@
 	t := s.transaction
 	c := t.connection
 	t.connection = nil
-	s.leavePrimary()
+	s.host.leavePrimary(t)
 	s.host.broken(c, err)
 	if st.Verb == proxy.Commit {
 		s.transaction = nil
@@ -217,11 +217,7 @@
 	c := t.connection
 	t.connection = nil
 	s.transaction = nil
-	defer func() {
-		s.transaction = t
-		s.leavePrimary()
-		s.transaction = nil
-	}()
+	defer h.leavePrimary(t)
 	h.table.Pause(h.Clock.Now(), c)
 	h.giveBackFrom(c, answer)
 	answer.State = proxy.OutsideTransaction
@@ -253,7 +249,7 @@
 		t.connection = nil
 		s.host.rollBack(c)
 	}
-	s.leavePrimary()
+	s.host.leavePrimary(t)
 }
 
 // endTransaction rolls back and leaves the transaction.
@@ -263,11 +259,10 @@
 }
 
 // leavePrimary ends the transaction's count among the operations that may write.
-func (s *session) leavePrimary() {
-	t := s.transaction
+func (h *Host) leavePrimary(t *transaction) {
 	if t.version != 0 {
 		t.version = 0
-		s.host.beliefs.leave(t.route.Group)
+		h.beliefs.leave(t.route.Group)
 	}
 }
 
