--- /dev/null
+++ b/cmd/emulated-deployment/main.go
@@ -0,0 +1,84 @@
+// Command emulated-deployment emulates the platform that entry hosts run on, for
+// the demo and for trying things out: the metadata store, the promote call and
+// database groups that speak the line protocol, all on loopback. It writes a
+// settings file for each host and runs until it is interrupted.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
+	"github.com/auburnyoke/auburnyoke/internal/program"
+)
+
+// replicaLag and connections are those of the smaller of the users' services.
+const (
+	replicaLag  = 60 * time.Millisecond
+	connections = 16
+)
+
+type options struct {
+	Directory string `long:"directory" required:"true" description:"where the settings files are written"`
+	Hosts     int    `long:"hosts" default:"2" description:"number of settings files"`
+	Port      int    `long:"port" default:"19000" description:"first port of the hosts; each takes three"`
+}
+
+func main() {
+	var o options
+	program.Main("emulated-deployment", &o, func() error { return run(o) })
+}
+
+func run(o options) error {
+	ctx, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stopSignals()
+	zones := []string{"gondar", "woldia"}
+	d, stop, err := deployment.Start([]string{"ledger", "routes"}, zones, replicaLag, connections)
+	if err != nil {
+		return fmt.Errorf("start the emulated deployment: %w", err)
+	}
+	defer stop()
+	err = d.Configure(1, []deployment.Tenant{
+		{Name: "clerks", Keys: []string{"key-clerks"}, Rate: 1000, Burst: 1000},
+		{Name: "buyers", Keys: []string{"key-buyers"}, Rate: 10, Burst: 10},
+	})
+	if err != nil {
+		return fmt.Errorf("write the configuration: %w", err)
+	}
+	for n := range o.Hosts {
+		path := filepath.Join(o.Directory, fmt.Sprintf("host-%d.toml", n+1))
+		text := settings(d, n+1, zones[n%len(zones)], o.Port+10*n)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		fmt.Printf("host %d: clients connect to 127.0.0.1:%d, settings in %s\n", n+1, o.Port+10*n, path)
+	}
+	fmt.Printf("store: http://%s/-/objects/config\n", d.StoreAddress)
+	<-ctx.Done()
+	return nil
+}
+
+func settings(d *deployment.Deployment, number int, zone string, port int) string {
+	return fmt.Sprintf(`node_name = "host-%d"
+zone = %q
+ip = "127.0.0.1"
+port_range = [%d,%d]
+[listen]
+frontend = "127.0.0.1:%d"
+ready = "127.0.0.1:%d"
+[bounds]
+revoke_ms = 5000
+config_apply_ms = 3000
+drain_ms = 7000
+grace_s = 6
+[platform]
+address = %q
+[cloud_api]
+address = %q
+`, number, zone, port+2, port+2, port, port+1, d.StoreAddress, d.OrdersAddress)
+}
--- /dev/null
+++ b/internal/entry/follower.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/auburnyoke/auburnyoke/internal/peering"
+	"github.com/auburnyoke/auburnyoke/internal/timing"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// follower keeps a kind of the store's objects up to date, from the store or
+// from another host of its zone.
+type follower struct {
+	host *Host
+	kind proxy.Kind
+	wait time.Duration
+	// maxAge is the age at which a relay's proof is too old.
+	maxAge time.Duration
+	mirror *mirror
+	// replace receives the whole state, change single changes; proof is the
+	// instant as of which nothing else has changed.
+	replace func(proof proxy.Instant, records []proxy.Record)
+	change  func(proof proxy.Instant, records []proxy.Record)
+
+	// relay is the host that is followed, epoch and index its last answer.
+	relay proxy.HostID
+	epoch proxy.Incarnation
+	index uint64
+	// version is the store's version of the state, zero for none.
+	version proxy.Version
+	// proof is the instant as of which the state was known to be complete.
+	proof proxy.Instant
+	// detour is the instant until which hosts of other zones are followed, since
+	// the store does not answer this host.
+	detour proxy.Instant
+	// failing reports that the last call to the store failed.
+	failing bool
+}
+
+func (h *Host) newFollower(kind proxy.Kind, wait time.Duration) *follower {
+	f := &follower{host: h, kind: kind, wait: wait, mirror: h.mirrors[kind]}
+	f.maxAge = 2*wait + relayAge
+	if wait > proofWait {
+		// Nothing depends on the age of this kind.
+		f.maxAge = unprovenAge
+	}
+	return f
+}
+
+func (f *follower) run(ctx context.Context) {
+	pause := retryTime
+	for ctx.Err() == nil {
+		if relay, ok := f.host.relayFor(f.host.Clock.Now() < f.detour, f.relay); ok {
+			if !f.follow(ctx, relay) && !timing.Sleep(ctx, hopTime) {
+				return
+			}
+			continue
+		}
+		err := f.step(ctx)
+		if err != nil && !errors.Is(err, proxy.ErrHistoryGone) {
+			f.detour = f.host.Clock.Now().Add(detourTime)
+		}
+		f.note(err)
+		switch {
+		case err == nil:
+			pause = retryTime
+		case errors.Is(err, proxy.ErrHistoryGone):
+			f.version = 0
+		case !timing.Sleep(ctx, jitter(pause)):
+			return
+		default:
+			pause = min(2*pause, maxRetryTime)
+		}
+	}
+}
+
+// jitter spreads a pause by a quarter, so that hosts do not call all at once.
+func jitter(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.75 + rand.Float64()/2))
+}
+
+// step makes one call to the store. It lists where the state is unknown, or so
+// old that a proof is needed before a watch would bring one.
+func (f *follower) step(ctx context.Context) error {
+	sent := f.host.Clock.Now()
+	f.host.Metrics.calls.Inc(1)
+	if f.version == 0 || sent.Sub(f.proof) > f.wait+staleTime {
+		listing, err := f.host.Store.List(ctx, f.kind)
+		if err != nil {
+			return fmt.Errorf("list: %w", err)
+		}
+		f.take(sent, listing, true)
+		return nil
+	}
+	listing, err := f.host.Store.Watch(ctx, f.kind, f.version, f.wait)
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	f.take(sent, listing, false)
+	return nil
+}
+
+// take applies a listing or changes. The mirror follows what the host itself
+// has applied.
+func (f *follower) take(proof proxy.Instant, listing proxy.Listing, whole bool) {
+	if whole {
+		f.replace(proof, listing.Records)
+		f.mirror.replace(proof, listing)
+	} else {
+		f.change(proof, listing.Records)
+		f.mirror.change(proof, listing)
+	}
+	f.version, f.proof = listing.Version, proof
+}
+
+// follow takes one answer of a relay. It returns false where the relay does not
+// answer or its proof is too old, so that the store has to be asked.
+func (f *follower) follow(ctx context.Context, relay peering.Peer) bool {
+	if relay.Host != f.relay {
+		f.relay, f.index = relay.Host, 0
+	}
+	sent := f.host.Clock.Now()
+	answer, err := f.host.fetch(ctx, relay, f.kind, f.epoch, f.index)
+	if err != nil {
+		if ctx.Err() == nil {
+			f.host.distrust(relay.Host, err)
+		}
+		return false
+	}
+	proof := sent.Add(min(answer.Lead, 0))
+	if age := f.host.Clock.Now().Sub(proof); age > f.maxAge {
+		f.host.distrust(relay.Host, eris.Errorf("proof of %s is %v old", f.kind, age))
+		return false
+	}
+	if answer.Epoch != f.epoch && !answer.Whole {
+		f.index = 0
+		return true
+	}
+	f.epoch, f.index = answer.Epoch, answer.Index
+	if answer.Version < f.version {
+		// The relay has yet to learn what this host has read itself.
+		return true
+	}
+	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole)
+	return true
+}
+
+func (f *follower) note(err error) {
+	failing := err != nil && !errors.Is(err, proxy.ErrHistoryGone)
+	if failing != f.failing {
+		f.failing = failing
+		if failing {
+			f.mirror.fail()
+			f.host.Log.Warn().Err(err).Str("kind", string(f.kind)).Msg("store lost")
+		} else {
+			f.host.Log.Info().Str("kind", string(f.kind)).Msg("store regained")
+		}
+	}
+	if errors.Is(err, proxy.ErrHistoryGone) {
+		f.host.Log.Info().Str("kind", string(f.kind)).Msg("history gone, listing again")
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/lender.go
@@ -1,5 +1,6 @@
-// Package peering is the protocol between entry hosts for loans of allowance:
-// datagrams, since a lost one costs a few tokens and nothing else.
+// Package peering is the protocol between entry hosts for loans of allowance and
+// for questions about each other's state. It uses datagrams: a lost one costs a
+// few tokens, or a question is asked again.
 package peering
 
 import (
@@ -13,12 +14,10 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
 )
 
 const (
@@ -30,68 +29,6 @@
 	requestTime = 150 * time.Millisecond
 )
 
-// message is a request for loans or the answer to one.
-type message struct {
-	// Request is a number that the requesting host has drawn.
-	Request uint64 `cbor:"1,keyasint"`
-	Answer  bool   `cbor:"2,keyasint,omitempty"`
-	Loans   []loan `cbor:"3,keyasint,omitempty"`
-	// State is the answer to a request without loans.
-	State *State `cbor:"4,keyasint,omitempty"`
-	// Notice comes with such a request.
-	Notice *Notice `cbor:"5,keyasint,omitempty"`
-}
-
-// Notice tells a host of a version of a group's record that the store has
-// acknowledged, since the host may not reach the store.
-type Notice struct {
-	Group   proxy.GroupID     `cbor:"1,keyasint"`
-	Version proxy.Version     `cbor:"2,keyasint"`
-	Record  succession.Record `cbor:"3,keyasint"`
-}
-
-// State is what a host tells others of itself.
-type State struct {
-	Host        proxy.HostID      `cbor:"1,keyasint"`
-	Incarnation proxy.Incarnation `cbor:"2,keyasint"`
-	// Accepted are the replacements whose old primaries it no longer uses.
-	Accepted []Acceptance `cbor:"3,keyasint,omitempty"`
-	// Suspects are primaries that it cannot reach.
-	Suspects []proxy.InstanceID `cbor:"4,keyasint,omitempty"`
-}
-
-// Acceptance names a version of a group's record.
-type Acceptance struct {
-	Group   proxy.GroupID `cbor:"1,keyasint"`
-	Version proxy.Version `cbor:"2,keyasint"`
-}
-
-type loan struct {
-	Account proxy.AccountID `cbor:"1,keyasint"`
-	// Tokens are wanted in a request and lent in an answer.
-	Tokens int `cbor:"2,keyasint"`
-	// Left is what the lender could still lend.
-	Left int `cbor:"3,keyasint,omitempty"`
-}
-
-// Validate checks a message that came from another host.
-func (m *message) Validate() error {
-	if m.Request == 0 || len(m.Loans) > maxNeeds {
-		return eris.Errorf("message %d with %d loans", m.Request, len(m.Loans))
-	}
-	if m.Notice != nil {
-		if err := m.Notice.Record.Validate(); err != nil {
-			return fmt.Errorf("notice: %w", err)
-		}
-	}
-	for _, l := range m.Loans {
-		if l.Tokens < 0 || l.Left < 0 {
-			return eris.Errorf("loan of %d tokens, %d left", l.Tokens, l.Left)
-		}
-	}
-	return nil
-}
-
 // Peer is another host.
 type Peer struct {
 	Host    proxy.HostID
@@ -99,8 +36,8 @@
 	Address netip.AddrPort
 }
 
-// Lender answers and makes requests for loans. Its exported fields are set
-// before Run.
+// Lender makes and answers requests for loans and questions. Its exported fields
+// are set before Listen.
 type Lender struct {
 	Zone       proxy.Zone
 	Log        zerolog.Logger
@@ -266,49 +203,6 @@
 	l.mu.Unlock()
 }
 
-// hear passes the answer to a question on.
-func (l *Lender) hear(m message) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if answers := l.asked[m.Request]; answers != nil {
-		delete(l.asked, m.Request)
-		answers <- *m.State
-	}
-}
-
-// Ask asks hosts for their state and returns the answers that arrive within
-// timeout. Notice may be nil.
-func (l *Lender) Ask(ctx context.Context, peers []Peer, notice *Notice, timeout time.Duration) []State {
-	answers := make(chan State, len(peers))
-	numbers := make([]uint64, 0, len(peers))
-	l.mu.Lock()
-	for range peers {
-		number := l.Random()
-		numbers = append(numbers, number)
-		l.asked[number] = answers
-	}
-	l.mu.Unlock()
-	for n, p := range peers {
-		l.send(message{Request: numbers[n], Notice: notice}, p.Address)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	states := make([]State, 0, len(peers))
-	for len(states) < len(peers) && ctx.Err() == nil {
-		select {
-		case s := <-answers:
-			states = append(states, s)
-		case <-ctx.Done():
-		}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, number := range numbers {
-		delete(l.asked, number)
-	}
-	return states
-}
-
 // Borrow asks for what the host needs, each account of one peer, and reports
 // whether anything was asked for or is still on its way.
 func (l *Lender) Borrow() bool {
