Retry failed reads elsewhere and busy statements of open transactions; bound sessions

Cause: reads ended with the failure of one instance though others could answer; a busy instance ended a transaction whose statement had not run; a session could hold any amount of state, and a host any number of sessions. The race detector found the opening of a transaction at work on what the log reads of its session; the opening now starts after the answer.

--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -14,7 +14,10 @@
 	// Connections is the limit of each instance.
 	Connections int
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// fault returns the code with which an instance refuses a statement, empty
+	// for none.
+	fault     func(instance, text string) string
 	store     *Store
 	instances []*Instance
 }
@@ -201,3 +204,11 @@
 	}
 	return runs
 }
+
+// SetFault makes instances refuse the statements for which fault returns a code.
+// It is called with the group's lock held.
+func (g *Group) SetFault(fault func(instance, text string) string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fault = fault
+}
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -97,6 +97,11 @@
 
 // run executes a statement. The caller holds the group's lock.
 func (s *session) run(id, text string) string {
+	if fault := s.at.group.fault; fault != nil {
+		if code := fault(s.at.ID, text); code != "" {
+			return "ERROR " + code + " " + s.at.ID + "\r\n"
+		}
+	}
 	fields := strings.Fields(text)
 	if len(fields) == 0 {
 		return s.refuse("MALFORMED")
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +35,10 @@
 	sampleAge = 600 * time.Millisecond
 )
 
+// reservedDescriptors are kept for files and for connections to instances, other
+// hosts and the platform.
+const reservedDescriptors = 600
+
 // Client is a client connection before its session begins.
 type Client interface {
 	proxy.Caller
@@ -81,8 +84,8 @@
 	// the lock of the beliefs.
 	inForce  bool
 	sessions atomic.Uint64
+	clients  atomic.Int64
 	stopping atomic.Bool
-	active   sync.WaitGroup
 	open     sessionSet
 	// budget and seed limit the log; see note.
 	budget budget
@@ -179,14 +182,27 @@
 			time.Sleep(tickTime)
 			continue
 		}
-		h.active.Add(1)
+		if limit := h.Settings.Descriptors - reservedDescriptors; limit > 0 && h.clients.Load() >= int64(limit) {
+			h.rejectClient(conn)
+			continue
+		}
+		h.clients.Add(1)
 		go func() {
-			defer h.active.Done()
+			defer h.clients.Add(-1)
 			h.serveClient(conn)
 		}()
 	}
 }
 
+// rejectClient refuses a connection for which the host has no descriptor.
+func (h *Host) rejectClient(conn net.Conn) {
+	h.Metrics.refused(proxy.Busy)
+	// The client learns of it by the end of the connection too.
+	_ = conn.SetWriteDeadline(time.Now().Add(tickTime))
+	_ = h.Client(conn).Reject(&proxy.Failure{Code: proxy.Busy, Text: "host has too many connections", RetryAfter: time.Second})
+	_ = conn.Close()
+}
+
 // runTicks does the periodic work that is not tied to one store object.
 func (h *Host) runTicks(ctx context.Context) {
 	for timing.Sleep(ctx, tickTime) {
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -66,6 +66,8 @@
 	failed   bool
 	// wrote reports that a statement that writes was sent.
 	wrote bool
+	// started reports that the opening has begun.
+	started bool
 	// opened is closed when the transaction has begun on connection, or when it
 	// could not begin because of refusal.
 	opened     chan struct{}
@@ -167,6 +169,7 @@
 		if !s.begin() {
 			return
 		}
+		s.awaitOpening()
 		s.trace = trace{}
 		var answer proxy.Answer
 		if failure != nil {
@@ -176,6 +179,7 @@
 		}
 		s.host.note(s, statement, answer, arrived)
 		err = s.caller.Reply(answer)
+		s.startOpening()
 		if err != nil || s.finish(answer) {
 			return
 		}
@@ -252,6 +256,9 @@
 	return s.single(op, st)
 }
 
+// maxDefinitions bounds the values and prepared statements of a session.
+const maxDefinitions = 1000
+
 // define changes the session's values and prepared statements. They reach an
 // instance with the next statement that needs them.
 func (s *session) define(st proxy.Statement) proxy.Answer {
@@ -259,6 +266,9 @@
 	if s.transaction != nil && s.transaction.failed {
 		return s.fail(proxy.Malformed, "transaction has failed")
 	}
+	if st.Verb != proxy.Deallocate && len(s.values)+len(s.prepared) >= maxDefinitions {
+		return s.fail(proxy.TooLarge, "session has too many values and prepared statements")
+	}
 	switch st.Verb {
 	case proxy.SetValue:
 		s.values[st.Name] = st.Text
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -30,6 +30,8 @@
 	primary bool
 	avoid   []proxy.InstanceID
 	count   int
+	// ran reports that an instance may have run the statement.
+	ran bool
 }
 
 func (t *try) deadline() proxy.Instant { return t.arrived.Add(t.route.Timeout) }
@@ -45,18 +47,26 @@
 	t.primary = t.writes || op.route.Consistency == directory.Strict
 	for {
 		answer, again := s.attempt(t)
-		if !again {
-			return answer
-		}
 		t.count++
-		if t.count >= maxTries || s.host.Clock.Now().Add(retryMargin) >= t.deadline() {
-			return answer
+		if !again || t.count >= maxTries || s.host.Clock.Now().Add(retryMargin) >= t.deadline() {
+			return t.truthful(answer)
 		}
 		s.host.Metrics.retried.Inc(1)
 		s.host.noteRetry(s, t, answer)
 	}
 }
 
+// truthful replaces a refusal that says "not run" where an earlier attempt may
+// have run. Nothing of a read is kept in either case.
+func (t *try) truthful(answer proxy.Answer) proxy.Answer {
+	if t.ran && answer.Failure != nil && answer.Failure.Code == proxy.Busy {
+		answer.Failure = &proxy.Failure{
+			Code: proxy.Aborted, Text: answer.Failure.Text, RetryAfter: answer.Failure.RetryAfter,
+		}
+	}
+	return answer
+}
+
 // attempt sends the statement to one instance. It returns the answer and
 // whether another attempt is allowed.
 func (s *session) attempt(t *try) (proxy.Answer, bool) {
@@ -117,16 +127,28 @@
 	if t.writes {
 		return s.fail(proxy.InDoubt, "instance did not answer: "+err.Error()), false
 	}
-	t.avoid = append(t.avoid, c.Instance)
-	if t.primary {
-		t.avoid = nil
-	}
+	t.ran = true
+	t.elsewhere(c)
 	return s.fail(proxy.Aborted, "instance did not answer"), true
 }
 
+// elsewhere excludes an instance from further attempts, unless only the primary
+// will do.
+func (t *try) elsewhere(c *dispatch.Connection) {
+	if !t.primary {
+		t.avoid = append(t.avoid, c.Instance)
+	}
+}
+
 // refused decides on a statement that an instance refused.
 func (s *session) refused(t *try, c *dispatch.Connection, answer proxy.Answer) (proxy.Answer, bool) {
 	answer.State = s.state()
+	if answer.Failure.Code == proxy.Failed && !t.writes {
+		// The instance may fail only part of its statements.
+		t.ran = true
+		t.elsewhere(c)
+		return answer, true
+	}
 	if !answer.Failure.Code.NotRun() {
 		return answer, false
 	}
@@ -134,7 +156,7 @@
 	switch answer.Failure.Code {
 	case proxy.Lagging:
 		s.host.table.Lagged(s.host.Clock.Now(), c)
-		t.avoid = append(t.avoid, c.Instance)
+		t.elsewhere(c)
 		if len(t.avoid) >= len(s.host.beliefs.groupInstances(t.route.Group)) {
 			t.primary, t.avoid = true, nil
 		}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -19,21 +19,30 @@
 	if failure != nil {
 		return s.failure(failure)
 	}
-	t := &transaction{operation: op, readOnly: st.Verb == proxy.BeginRead, opened: make(chan struct{})}
-	s.transaction = t
-	answer := s.done()
+	s.transaction = &transaction{operation: op, readOnly: st.Verb == proxy.BeginRead, opened: make(chan struct{})}
+	return s.done()
+}
+
+// startOpening begins a new transaction on an instance. It is called once the
+// client has its answer; until the transaction is opened, the session's state
+// belongs to the opening.
+func (s *session) startOpening() {
+	t := s.transaction
+	if t == nil || t.started {
+		return
+	}
+	t.started = true
 	go func() {
 		defer close(t.opened)
-		t.refusal = s.openTransaction(arrived.Add(op.route.Timeout))
+		t.refusal = s.openTransaction(t.arrived.Add(t.route.Timeout))
 		if t.connection != nil {
 			s.host.table.Pause(s.host.Clock.Now(), t.connection)
 		}
 	}()
-	return answer
 }
 
 // awaitOpening waits until the transaction has begun on an instance, or could
-// not. Until then the session's state belongs to the opening.
+// not.
 func (s *session) awaitOpening() {
 	if s.transaction != nil {
 		<-s.transaction.opened
@@ -178,9 +187,20 @@
 			return s.abort(&proxy.Failure{Code: proxy.UnknownStatement, Text: "no prepared statement has this name"})
 		}
 	}
-	answer, err := s.exchange(t.connection, deadline.Sub(h.Clock.Now()), proxy.Order{Statement: st})
-	if err != nil {
-		return s.interruptedTransaction(st, err)
+	var answer proxy.Answer
+	for range maxTries {
+		var err error
+		answer, err = s.exchange(t.connection, deadline.Sub(h.Clock.Now()), proxy.Order{Statement: st})
+		if err != nil {
+			return s.interruptedTransaction(st, err)
+		}
+		busy := answer.Failure != nil && answer.Failure.Code == proxy.Busy && answer.State == proxy.InTransaction
+		if !busy || h.Clock.Now().Add(retryMargin) >= deadline {
+			break
+		}
+		// The statement has not run and the transaction is still open.
+		h.Metrics.retried.Inc(1)
+		time.Sleep(busyPause)
 	}
 	if st.Verb == proxy.Commit {
 		return s.committedTransaction(answer)
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -23,6 +23,9 @@
 // it has failed for another reason than speed.
 const patience = 60 * time.Second
 
+// replicaLag is how late the emulated replicas apply a commit.
+const replicaLag = 5 * time.Millisecond
+
 var tenants = []deployment.Tenant{
 	{Name: "clerks", Keys: []string{"key-clerks", "key-spare"}, Rate: 100000, Burst: 100000},
 	{Name: "buyers", Keys: []string{"key-buyers"}, Rate: 100000, Burst: 100000},
@@ -40,7 +43,7 @@
 	t.Helper()
 	is := is.New(t)
 	zones := []string{"gondar", "woldia"}
-	d, stop, err := deployment.Start([]string{"ledger"}, zones, 5*time.Millisecond, 8)
+	d, stop, err := deployment.Start([]string{"ledger"}, zones, replicaLag, 8)
 	is.NoErr(err)
 	t.Cleanup(stop)
 	is.NoErr(d.Configure(1, tenants))
@@ -372,6 +375,80 @@
 	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
 }
 
+// Guards against reads that fail because one instance fails part of them though
+// another one could answer, and against a refusal that claims a read has not run.
+func TestFailedReadRunsElsewhere(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	c := w.session(0, "ledger-own")
+	is.True(strings.HasPrefix(c.query("WRITE a one"), "COMPLETE i-"))
+	time.Sleep(10 * replicaLag) // all replicas have applied the write
+	failing := ""
+	w.Groups[0].SetFault(func(instance, text string) string {
+		if !strings.HasSuffix(text, "READ a") {
+			return ""
+		}
+		if failing == "" {
+			failing = instance
+		}
+		if instance == failing {
+			return "FAILED"
+		}
+		return ""
+	})
+	for range 20 {
+		is.Equal(strings.Split(c.query("READ a"), "|")[0], "DATAROW one")
+	}
+	w.Groups[0].SetFault(func(_, text string) string {
+		if strings.HasSuffix(text, "READ a") {
+			return "FAILED"
+		}
+		return ""
+	})
+	is.True(strings.HasPrefix(c.query("READ a"), "ERROR FAILED"))
+}
+
+// Guards against transactions that are lost because an instance was busy for a
+// moment, at a statement or at the commit.
+func TestBusyInstanceDoesNotEndTransactions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	c := w.session(0, "ledger-strict")
+	refusals := 0
+	w.Groups[0].SetFault(func(_, text string) string {
+		if text != "COMMIT" && !strings.HasPrefix(text, "WRITE") {
+			return ""
+		}
+		refusals++
+		if refusals%2 == 1 {
+			return "BUSY"
+		}
+		return ""
+	})
+	c.query("BEGIN")
+	is.True(strings.HasPrefix(c.query("WRITE b one"), "COMPLETE i-"))
+	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
+	is.Equal(strings.Split(c.query("READ b"), "|")[0], "DATAROW one")
+}
+
+// Guards against a client that fills the host's memory with session state.
+func TestSessionStateIsBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	c := w.session(0, "ledger-strict")
+	refused := false
+	for n := range 2000 {
+		if strings.HasPrefix(c.query(fmt.Sprintf("SET n%d v", n)), "ERROR TOOLARGE") {
+			refused = true
+			break
+		}
+	}
+	is.True(refused)
+}
+
 // Guards against messages that disturb other sessions or get no answer.
 func TestBadMessages(t *testing.T) {
 	t.Parallel()
