--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -129,6 +129,9 @@
 	}
 	t.ran = true
 	t.elsewhere(c)
+	if len(t.avoid) >= s.instances(t) {
+		t.avoid = nil
+	}
 	return s.fail(proxy.Aborted, "instance did not answer"), true
 }
 
@@ -140,6 +143,11 @@
 	}
 }
 
+// instances returns the number of instances that may run the statement.
+func (s *session) instances(t *try) int {
+	return len(s.host.beliefs.groupInstances(t.route.Group))
+}
+
 // refused decides on a statement that an instance refused.
 func (s *session) refused(t *try, c *dispatch.Connection, answer proxy.Answer) (proxy.Answer, bool) {
 	answer.State = s.state()
@@ -147,7 +155,7 @@
 		// The instance may fail only part of its statements.
 		t.ran = true
 		t.elsewhere(c)
-		return answer, true
+		return answer, len(t.avoid) < s.instances(t)
 	}
 	if !answer.Failure.Code.NotRun() {
 		return answer, false
@@ -157,7 +165,7 @@
 	case proxy.Lagging:
 		s.host.table.Lagged(s.host.Clock.Now(), c)
 		t.elsewhere(c)
-		if len(t.avoid) >= len(s.host.beliefs.groupInstances(t.route.Group)) {
+		if len(t.avoid) >= s.instances(t) {
 			t.primary, t.avoid = true, nil
 		}
 	case proxy.Busy, proxy.ReadOnly:
