Replace an unreachable primary without waiting for its entry's grace

Cause: a primary that most hosts could not reach and whose entry was gone was kept for the 2.5 s in which entries may come back; seen in a run on the emulated deployment. The new case of TestDecide failed before. Two smaller finds of the same run: a negative time to retry, and a store reported lost at every stop.

--- a/cmd/emulated-deployment/main.go
+++ b/cmd/emulated-deployment/main.go
@@ -5,11 +5,13 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -59,10 +61,39 @@
 		fmt.Printf("host %d: clients connect to 127.0.0.1:%d, settings in %s\n", n+1, o.Port+10*n, path)
 	}
 	fmt.Printf("store: http://%s/-/objects/config\n", d.StoreAddress)
+	go command(d)
 	<-ctx.Done()
 	return nil
 }
 
+// command carries out the faults that are typed on standard input: "crash GROUP"
+// stops the group's primary, "drain GROUP" lets it leave, "lose GROUP" loses the
+// answer of the next write, "down" and "up" switch the store.
+func command(d *deployment.Deployment) {
+	lines := bufio.NewScanner(os.Stdin)
+	for lines.Scan() {
+		verb, name, _ := strings.Cut(lines.Text(), " ")
+		switch verb {
+		case "down", "up":
+			d.Store.SetDown(verb == "down")
+			continue
+		}
+		for _, g := range d.Groups {
+			if g.Name != name {
+				continue
+			}
+			switch verb {
+			case "crash":
+				g.Crash(g.Primary())
+			case "drain":
+				g.Drain(g.Primary())
+			case "lose":
+				g.LoseAnswers(1)
+			}
+		}
+	}
+}
+
 func settings(d *deployment.Deployment, number int, zone string, port int) string {
 	return fmt.Sprintf(`node_name = "host-%d"
 zone = %q
--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -17,7 +17,9 @@
 	mu sync.Mutex
 	// fault returns the code with which an instance refuses a statement, empty
 	// for none.
-	fault     func(instance, text string) string
+	fault func(instance, text string) string
+	// lost is the number of next writes whose answers are lost.
+	lost      int
 	store     *Store
 	instances []*Instance
 }
@@ -212,3 +214,11 @@
 	defer g.mu.Unlock()
 	g.fault = fault
 }
+
+// LoseAnswers makes instances run the next writes and break the connection
+// instead of answering.
+func (g *Group) LoseAnswers(writes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lost = writes
+}
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -81,7 +81,14 @@
 			state = "T"
 		}
 		answer += fmt.Sprintf("READY %s %s\r\n", state, i.positionText(time.Now()))
+		lost := g.lost > 0 && strings.HasPrefix(text, "WRITE")
+		if lost {
+			g.lost--
+		}
 		g.mu.Unlock()
+		if lost {
+			return
+		}
 		if _, err := fmt.Fprint(conn, answer); err != nil {
 			return
 		}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -72,7 +72,7 @@
 		return grant, nil
 	}
 	return dispatch.Grant{}, &proxy.Failure{
-		Code: proxy.Busy, Text: "no connection was free in time", RetryAfter: want.Due.Sub(now),
+		Code: proxy.Busy, Text: "no connection was free in time", RetryAfter: max(want.Due.Sub(now), retryTime),
 	}
 }
 
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -63,6 +63,9 @@
 			continue
 		}
 		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil && !errors.Is(err, proxy.ErrHistoryGone) {
 			f.detour = f.host.Clock.Now().Add(detourTime)
 		}
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -409,6 +409,19 @@
 	is.True(strings.HasPrefix(c.query("READ a"), "ERROR FAILED"))
 }
 
+// Guards against a write that is sent again, or reported as not run, after its
+// answer was lost.
+func TestLostAnswerIsInDoubt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	c := w.session(0, "ledger-strict")
+	w.Groups[0].LoseAnswers(1)
+	is.True(strings.HasPrefix(c.queryAs("lost", "WRITE l one"), "ERROR INDOUBT"))
+	is.Equal(w.Groups[0].Runs("lost"), 1)
+	is.Equal(strings.Split(c.query("READ l"), "|")[0], "DATAROW one")
+}
+
 // Guards against transactions that are lost because an instance was busy for a
 // moment, at a statement or at the commit.
 func TestBusyInstanceDoesNotEndTransactions(t *testing.T) {
--- a/pkg/proxy/succession/succession.go
+++ b/pkg/proxy/succession/succession.go
@@ -122,14 +122,14 @@
 		return Abandoned, v.Own || v.Held > takeOverTime || !v.Conducting && v.Held > startTime
 	}
 	switch {
+	case 2*v.Suspecting > v.Hosts:
+		return Unreachable, true
 	case v.Instance == nil:
 		return Absent, v.Missing > absenceTime
 	case v.Instance.Leaving:
 		return Leaving, true
 	case !v.Instance.Primary && v.Demoted > demotedTime:
 		return Demoted, true
-	case 2*v.Suspecting > v.Hosts:
-		return Unreachable, true
 	default:
 		return "", false
 	}
--- a/pkg/proxy/succession/succession_test.go
+++ b/pkg/proxy/succession/succession_test.go
@@ -70,6 +70,7 @@
 	}{
 		{"healthy", succession.View{Record: settled, Instance: healthy, Hosts: 7, Suspecting: 3}, false},
 		{"most suspect", succession.View{Record: settled, Instance: healthy, Hosts: 7, Suspecting: 4}, true},
+		{"missing and unreachable", succession.View{Record: settled, Missing: time.Second, Hosts: 3, Suspecting: 2}, true},
 		{"leaving", succession.View{Record: settled, Instance: &directory.Instance{Primary: true, Leaving: true}}, true},
 		{"briefly missing", succession.View{Record: settled, Missing: time.Second}, false},
 		{"missing", succession.View{Record: settled, Missing: 3 * time.Second}, true},
