--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -94,73 +94,94 @@
 
 // Run serves until ctx ends and then stops gracefully within the grace time.
 func (h *Host) Run(ctx context.Context) error {
-	h.beliefs = newBeliefs()
-	h.table = &dispatch.Table{Zone: h.Settings.Zone}
-	h.allowances = &allowance.Table{Self: h.Settings.Host, HandOver: joinTime}
-	h.lender = &peering.Lender{
-		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
+	if err := h.prepare(); err != nil {
+		return fmt.Errorf("prepare: %w", err)
 	}
-	h.seed = maphash.MakeSeed()
-	h.open.sessions = make(map[*session]net.Conn)
+	defer h.relays.CloseIdleConnections()
+	listener, stopListening, err := h.listen(ctx)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer stopListening()
+	h.Log.Info().Str("listen", h.Settings.Listen).Uint64("incarnation", uint64(h.incarnation)).Msg("host started")
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	for _, run := range []func(context.Context){
+		h.runMembers, h.runTicks, h.runConductor, h.probeSuspects, h.runVotes,
+	} {
+		go run(work)
+	}
+	go h.lender.Run()
+	go h.accept(listener)
+	<-ctx.Done()
+	h.stop(listener)
+	return nil
+}
+
+// prepare sets up what the host remembers.
+func (h *Host) prepare() error {
 	incarnation, err := newIncarnation()
 	if err != nil {
 		return fmt.Errorf("incarnation: %w", err)
 	}
 	h.incarnation = incarnation
+	h.seed = maphash.MakeSeed()
+	h.beliefs = newBeliefs()
+	h.open.sessions = make(map[*session]net.Conn)
+	h.table = &dispatch.Table{Zone: h.Settings.Zone}
+	h.allowances = &allowance.Table{Self: h.Settings.Host, HandOver: joinTime}
+	h.lender = &peering.Lender{
+		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
+		State: h.state,
+		Learn: func(n peering.Notice) {
+			if h.applyTenure(n.Group, n.Record, n.Version) {
+				h.reconfigure()
+			}
+		},
+	}
 	h.mirrors = make(map[proxy.Kind]*mirror)
 	for _, kind := range []proxy.Kind{h.Decode.ConfigurationKind, h.Decode.InstanceKind, tenureKind, memberKind} {
 		h.mirrors[kind] = newMirror()
 	}
 	h.distrusted = make(map[proxy.HostID]proxy.Instant)
 	h.relays = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len(h.mirrors), DisableCompression: true}}
-	defer h.relays.CloseIdleConnections()
-	stopRelay, err := h.serveRelay(ctx)
-	if err != nil {
-		return fmt.Errorf("relay: %w", err)
+	return nil
+}
+
+// listen opens the host's sockets. It returns the one for clients and a function
+// that closes all.
+func (h *Host) listen(ctx context.Context) (net.Listener, func(), error) {
+	var stops []func()
+	stop := func() {
+		for _, s := range stops {
+			s()
+		}
 	}
-	defer stopRelay()
-	h.lender.State = h.state
-	h.lender.Learn = func(n peering.Notice) {
-		if h.applyTenure(n.Group, n.Record, n.Version) {
-			h.reconfigure()
+	for _, open := range []func() (func(), error){
+		func() (func(), error) { return h.serveRelay(ctx) },
+		func() (func(), error) { return h.lender.Listen(h.Settings.Peer) },
+		func() (func(), error) { return h.serveReady(ctx) },
+	} {
+		closeOne, err := open()
+		if err != nil {
+			stop()
+			return nil, nil, err
 		}
+		stops = append(stops, closeOne)
 	}
-	stopLoans, err := h.lender.Listen(h.Settings.Peer)
-	if err != nil {
-		return fmt.Errorf("loans: %w", err)
+	if stopMetrics, err := h.serveMetrics(ctx); err == nil {
+		stops = append(stops, stopMetrics)
+	} else {
+		// Callers are served without metrics too.
+		h.Log.Warn().Err(err).Msg("metrics are not served")
 	}
-	defer stopLoans()
-	go h.lender.Run()
 	var listening net.ListenConfig
 	listener, err := listening.Listen(ctx, "tcp4", h.Settings.Listen)
 	if err != nil {
-		return fmt.Errorf("listen for clients: %w", err)
-	}
-	stopReady, err := h.serveReady(ctx)
-	if err != nil {
-		_ = listener.Close()
-		return fmt.Errorf("listen for readiness: %w", err)
+		stop()
+		return nil, nil, fmt.Errorf("clients: %w", err)
 	}
-	defer stopReady()
-	stopMetrics, err := h.serveMetrics(ctx)
-	if err != nil {
-		// Callers are served without metrics too.
-		h.Log.Warn().Err(err).Msg("metrics are not served")
-	} else {
-		defer stopMetrics()
-	}
-	h.Log.Info().Str("listen", h.Settings.Listen).Uint64("incarnation", uint64(incarnation)).Msg("host started")
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
-	for _, run := range []func(context.Context){
-		h.runMembers, h.runTicks, h.runConductor, h.probeSuspects, h.runVotes,
-	} {
-		go run(work)
-	}
-	go h.accept(listener)
-	<-ctx.Done()
-	h.stop(listener)
-	return nil
+	return listener, stop, nil
 }
 
 func newIncarnation() (proxy.Incarnation, error) {
