Keep the start of a large fleet from growing with its square

Each change of the followed relay fetched whole listings again, each of 300 registrations was sent to every follower alone, and each recomputed the homes of all accounts with a hash for every pair of account and host.

Followers now tell the store's version that they know, relays answer changes after it and gather them for 20 ms, rates are redistributed once a tick, and a host's hash is computed once.

--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -103,9 +103,9 @@
 		return nil
 	}
 	t := b.tenures[id]
-	rank := time.Duration(h.rankLocked()) * rankTime
 	if t == nil {
-		if primary := b.registeredPrimary(id); primary != "" && b.registered != 0 && now.Sub(b.registered) > rank {
+		primary := b.registeredPrimary(id)
+		if primary != "" && b.registered != 0 && now.Sub(b.registered) > h.rankDelay() {
 			return func(ctx context.Context) { h.found(ctx, id, primary) }
 		}
 		return nil
@@ -113,7 +113,7 @@
 	view := b.view(now, t)
 	view.Own = t.record.Host == h.Settings.Host
 	reason, due := succession.Decide(view)
-	if !due || now.Sub(t.seen) < rank || view.Held < rank {
+	if !due || view.Held < h.rankDelay() {
 		return nil
 	}
 	record := succession.Record{
@@ -127,16 +127,16 @@
 	return func(ctx context.Context) { h.replace(ctx, id, record, version, reason, continued) }
 }
 
-// rankLocked returns the host's place among the hosts that answer, up to
-// maxRank.
-func (h *Host) rankLocked() int {
+// rankDelay returns how long this host lets others act first: by its place among
+// the hosts that answer, up to maxRank. The caller holds the lock of the beliefs.
+func (h *Host) rankDelay() time.Duration {
 	rank := 0
 	for id, m := range h.beliefs.members {
 		if id < h.Settings.Host && m.silent == 0 {
 			rank++
 		}
 	}
-	return min(rank, maxRank)
+	return time.Duration(min(rank, maxRank)) * rankTime
 }
 
 // registeredPrimary returns the one registered instance of a group that calls
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -28,10 +28,8 @@
 	replace func(proof proxy.Instant, records []proxy.Record)
 	change  func(proof proxy.Instant, records []proxy.Record)
 
-	// relay is the host that is followed, epoch and index its last answer.
+	// relay is the host that was followed last.
 	relay proxy.HostID
-	epoch proxy.Incarnation
-	index uint64
 	// version is the store's version of the state, zero for none.
 	version proxy.Version
 	// proof is the instant as of which the state was known to be complete.
@@ -125,11 +123,9 @@
 // follow takes one answer of a relay. It returns false where the relay does not
 // answer or its proof is too old, so that the store has to be asked.
 func (f *follower) follow(ctx context.Context, relay peering.Peer) bool {
-	if relay.Host != f.relay {
-		f.relay, f.index = relay.Host, 0
-	}
+	f.relay = relay.Host
 	sent := f.host.Clock.Now()
-	answer, err := f.host.fetch(ctx, relay, f.kind, f.epoch, f.index)
+	answer, err := f.host.fetch(ctx, relay, f.kind, f.version)
 	if err != nil {
 		if ctx.Err() == nil {
 			f.host.distrust(relay.Host, err)
@@ -141,11 +137,6 @@
 		f.host.distrust(relay.Host, eris.Errorf("proof of %s is %v old", f.kind, age))
 		return false
 	}
-	if answer.Epoch != f.epoch && !answer.Whole {
-		f.index = 0
-		return true
-	}
-	f.epoch, f.index = answer.Epoch, answer.Index
 	if answer.Version < f.version {
 		// The relay has yet to learn what this host has read itself.
 		return true
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -80,13 +80,13 @@
 	mirrors    map[proxy.Kind]*mirror
 	distrusted map[proxy.HostID]proxy.Instant
 	relays     *http.Client
-	// inForce reports that the host's part of rates is in use; it is guarded by
-	// the lock of the beliefs.
-	inForce  bool
-	sessions atomic.Uint64
-	clients  atomic.Int64
-	stopping atomic.Bool
-	open     sessionSet
+	// inForce reports that the host's part of rates is in use, membersChanged that
+	// the hosts have changed since; both are guarded by the lock of the beliefs.
+	inForce, membersChanged bool
+	sessions                atomic.Uint64
+	clients                 atomic.Int64
+	stopping                atomic.Bool
+	open                    sessionSet
 	// budget and seed limit the log; see note.
 	budget budget
 	seed   maphash.Seed
@@ -234,7 +234,7 @@
 		h.expireInstances(now)
 		h.acceptReplacements(now)
 		h.lender.Borrow()
-		h.startPart(now)
+		h.applyMembership(now)
 	}
 }
 
@@ -275,9 +275,6 @@
 	b := h.beliefs
 	b.mu.Lock()
 	hosts := max(len(b.members), 1)
-	counted := h.countedLocked(now)
-	peers := b.peers(h.Settings.Host)
-	names := slices.Sorted(maps.Keys(b.members))
 	configuration := b.configuration
 	var members []dispatch.Member
 	for _, i := range b.instances {
@@ -299,26 +296,44 @@
 			leaders[id] = t.record.Primary
 		}
 	}
-	h.inForce = counted
 	b.mu.Unlock()
 	closeAll(h.table.Update(now, members))
-	h.lender.SetPeers(peers)
 	for id, leader := range leaders {
 		h.table.Lead(now, id, leader, vacant[id])
 	}
+}
+
+// redistribute passes the hosts and the accounts to what divides rates.
+func (h *Host) redistribute() {
+	now := h.Clock.Now()
+	b := h.beliefs
+	b.mu.Lock()
+	counted := h.countedLocked(now)
+	peers := b.peers(h.Settings.Host)
+	names := slices.Sorted(maps.Keys(b.members))
+	configuration := b.configuration
+	h.inForce, h.membersChanged = counted, false
+	b.mu.Unlock()
+	h.lender.SetPeers(peers)
 	if configuration != nil && len(names) > 0 {
 		h.allowances.Configure(now, configuration.Accounts, names, counted)
 	}
 }
 
-// startPart uses the host's part of rates as soon as the others count it.
-func (h *Host) startPart(now proxy.Instant) {
+// applyMembership redistributes rates after the hosts have changed, and as soon
+// as the others count this host. Changes within a tick are taken together: when
+// a fleet starts, they come by the hundred.
+func (h *Host) applyMembership(now proxy.Instant) {
 	h.beliefs.mu.Lock()
-	due := h.countedLocked(now) && !h.inForce
+	changed := h.membersChanged
+	due := changed || h.countedLocked(now) && !h.inForce
 	h.beliefs.mu.Unlock()
-	if due {
+	if changed {
 		h.reconfigure()
 	}
+	if due {
+		h.redistribute()
+	}
 }
 
 // peers returns the other hosts that can be asked for loans.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -146,12 +146,12 @@
 	for _, record := range records {
 		changed = h.applyMember(proxy.HostID(record.Name), record) || changed
 	}
+	h.membersChanged = h.membersChanged || changed
 	_, present := b.members[h.Settings.Host]
 	hosts := len(b.members)
 	b.mu.Unlock()
 	if changed {
 		h.Log.Info().Int("hosts", hosts).Msg("hosts changed")
-		h.reconfigure()
 	}
 	if !present && b.led != 0 && proof > b.registered {
 		h.rejoin()
@@ -185,7 +185,7 @@
 	b.mu.Lock()
 	b.registered, b.counted = 0, 0
 	b.mu.Unlock()
-	h.reconfigure()
+	h.redistribute()
 	ctx, cancel := context.WithTimeout(context.Background(), joinTime)
 	defer cancel()
 	for !h.register(ctx) {
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -8,8 +8,13 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// mirrorLog is the number of changes that a mirror keeps for its followers.
-const mirrorLog = 256
+const (
+	// mirrorLog is the number of changes that a mirror keeps for its followers.
+	mirrorLog = 1024
+	// gatherTime is how long a relay gathers changes before it answers, since each
+	// answer costs every follower a wake-up.
+	gatherTime = 20 * time.Millisecond
+)
 
 // mirror is a host's copy of a kind of the store's objects, which it also serves
 // to the other hosts of its zone.
@@ -18,10 +23,9 @@
 	// records are the objects by name, as of version of the store.
 	records map[string]proxy.Record
 	version proxy.Version
-	// index counts the changes of the mirror. log holds the newest of them; the
-	// change at index-len(log)+1 is its first.
-	index uint64
-	log   []proxy.Record
+	// log holds the newest changes. It is complete after version floor.
+	log   []logged
+	floor proxy.Version
 	// failing reports that the mirror's own source does not answer.
 	failing bool
 	// proof is the instant as of which the mirror is known to be complete.
@@ -30,21 +34,37 @@
 	moved chan struct{}
 }
 
+// logged is a change with the version of the store by which it was known.
+type logged struct {
+	record proxy.Record
+	at     proxy.Version
+}
+
 func newMirror() *mirror {
 	return &mirror{records: make(map[string]proxy.Record), moved: make(chan struct{})}
 }
 
-// replace takes a whole listing.
+// replace takes a whole listing. What differs from the mirror counts as changed,
+// so that followers need not read everything again.
 func (m *mirror) replace(proof proxy.Instant, listing proxy.Listing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	clear(m.records)
+	if m.version == 0 {
+		m.floor = listing.Version
+	}
+	present := make(map[string]bool, len(listing.Records))
 	for _, record := range listing.Records {
-		m.records[record.Name] = record
+		present[record.Name] = true
+		if m.records[record.Name].Version != record.Version {
+			m.apply(record, listing.Version)
+		}
+	}
+	for name, record := range m.records {
+		if !present[name] {
+			record.Deleted = true
+			m.apply(record, listing.Version)
+		}
 	}
-	// Followers need the whole listing too.
-	m.index += mirrorLog + 1
-	m.log = nil
 	m.advance(proof, listing.Version)
 }
 
@@ -53,18 +73,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, record := range listing.Records {
-		if record.Deleted {
-			delete(m.records, record.Name)
-		} else {
-			m.records[record.Name] = record
-		}
-		m.index++
-		m.log = append(m.log, record)
+		m.apply(record, listing.Version)
+	}
+	m.advance(proof, listing.Version)
+}
+
+func (m *mirror) apply(record proxy.Record, at proxy.Version) {
+	if record.Deleted {
+		delete(m.records, record.Name)
+	} else {
+		m.records[record.Name] = record
 	}
+	m.log = append(m.log, logged{record, at})
 	if extra := len(m.log) - mirrorLog; extra > 0 {
+		m.floor = m.log[extra-1].at
 		m.log = slices.Delete(m.log, 0, extra)
 	}
-	m.advance(proof, listing.Version)
 }
 
 // fail tells the followers to look for another source.
@@ -89,23 +113,25 @@
 
 // Relayed is a mirror's answer to a follower.
 type Relayed struct {
-	// Epoch is the relay's incarnation; an Index of another epoch means nothing.
-	Epoch proxy.Incarnation `cbor:"1,keyasint"`
-	Index uint64            `cbor:"2,keyasint"`
 	// Whole reports that Records are all objects, not only changes.
-	Whole   bool           `cbor:"3,keyasint,omitempty"`
-	Records []proxy.Record `cbor:"4,keyasint,omitempty"`
-	Version proxy.Version  `cbor:"5,keyasint"`
+	Whole   bool           `cbor:"1,keyasint,omitempty"`
+	Records []proxy.Record `cbor:"2,keyasint,omitempty"`
+	Version proxy.Version  `cbor:"3,keyasint"`
 	// Lead is how long after the arrival of the request the relay's proof holds;
 	// negative for a proof that precedes it.
-	Lead time.Duration `cbor:"6,keyasint"`
+	Lead time.Duration `cbor:"4,keyasint"`
 }
 
-// since returns what a follower at index lacks. The caller holds the lock.
-func (m *mirror) since(index uint64) (records []proxy.Record, whole bool) {
-	first := m.index - uint64(len(m.log))
-	if index != 0 && index >= first && index <= m.index {
-		return slices.Clone(m.log[index-first:]), false
+// since returns what a follower that knows a version lacks. The caller holds the
+// lock.
+func (m *mirror) since(known proxy.Version) (records []proxy.Record, whole bool) {
+	if known >= m.floor && known != 0 {
+		for _, l := range m.log {
+			if l.at > known {
+				records = append(records, l.record)
+			}
+		}
+		return records, false
 	}
 	for _, record := range m.records {
 		records = append(records, record)
@@ -113,28 +139,29 @@
 	return records, true
 }
 
-// relay waits until the mirror has moved beyond what the follower has seen, for
-// at most wait, and returns what it lacks. Known is the index and proof that the
-// follower has, zero for none.
-func (m *mirror) relay(clock proxy.Clock, epoch proxy.Incarnation, index uint64, wait time.Duration) (Relayed, bool) {
+// relay returns what a follower that knows a version lacks. Where it lacks
+// nothing, it waits for a change or a newer proof, for at most wait. It returns
+// false while the mirror has no source.
+func (m *mirror) relay(clock proxy.Clock, known proxy.Version, wait time.Duration) (Relayed, bool) {
 	arrived := clock.Now()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	m.mu.Lock()
-	if index == m.index && !m.failing || m.proof == 0 {
+	if !m.failing && (m.proof == 0 || known >= m.version) {
 		moved := m.moved
 		m.mu.Unlock()
+		timer := time.NewTimer(wait)
 		select {
 		case <-moved:
 		case <-timer.C:
 		}
+		timer.Stop()
+		time.Sleep(gatherTime)
 		m.mu.Lock()
 	}
 	defer m.mu.Unlock()
 	if m.proof == 0 || m.failing {
 		return Relayed{}, false
 	}
-	r := Relayed{Epoch: epoch, Index: m.index, Version: m.version, Lead: m.proof.Sub(arrived)}
-	r.Records, r.Whole = m.since(index)
+	r := Relayed{Version: m.version, Lead: m.proof.Sub(arrived)}
+	r.Records, r.Whole = m.since(known)
 	return r, true
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -84,14 +84,13 @@
 
 // fetch asks a relay for what has changed.
 func (h *Host) fetch(
-	ctx context.Context, relay peering.Peer, kind proxy.Kind, epoch proxy.Incarnation, index uint64,
+	ctx context.Context, relay peering.Peer, kind proxy.Kind, known proxy.Version,
 ) (Relayed, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	query := url.Values{
 		"kind":  {string(kind)},
-		"epoch": {strconv.FormatUint(uint64(epoch), 10)},
-		"index": {strconv.FormatUint(index, 10)},
+		"known": {strconv.FormatUint(uint64(known), 10)},
 	}
 	target := url.URL{Scheme: "http", Host: relay.Address.String(), Path: relayPath, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -128,16 +127,12 @@
 func (h *Host) answerFollower(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	m := h.mirrors[proxy.Kind(query.Get("kind"))]
-	epoch, errEpoch := strconv.ParseUint(query.Get("epoch"), 10, 64)
-	index, errIndex := strconv.ParseUint(query.Get("index"), 10, 64)
-	if m == nil || errEpoch != nil || errIndex != nil {
+	known, err := strconv.ParseUint(query.Get("known"), 10, 64)
+	if m == nil || err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if proxy.Incarnation(epoch) != h.incarnation {
-		index = 0
-	}
-	answer, ok := m.relay(h.Clock, h.incarnation, index, relayWait)
+	answer, ok := m.relay(h.Clock, proxy.Version(known), relayWait)
 	if !ok || h.stopping.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -68,6 +68,7 @@
 	h.beliefs.mu.Unlock()
 	if changed {
 		h.reconfigure()
+		h.redistribute()
 	}
 }
 
--- a/pkg/proxy/allowance/table.go
+++ b/pkg/proxy/allowance/table.go
@@ -78,6 +78,10 @@
 ) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	hashes := make([]uint64, len(hosts))
+	for n, h := range hosts {
+		hashes[n] = xxhash.Sum64String(string(h))
+	}
 	buckets := make(map[proxy.AccountID]*bucket, len(accounts))
 	for id, a := range accounts {
 		b := t.buckets[id]
@@ -85,7 +89,7 @@
 			b = &bucket{filled: now, asked: now, home: true}
 		}
 		b.fill(now)
-		b.homes = homes(a, hosts)
+		b.homes = homes(a, hosts, hashes)
 		home := slices.Contains(b.homes, t.Self)
 		if home && !b.home {
 			b.filled = now.Add(t.HandOver)
@@ -102,8 +106,8 @@
 }
 
 // homes chooses the homes of an account by rendezvous hashing, so that a change
-// of the hosts moves few accounts.
-func homes(a directory.Account, hosts []proxy.HostID) []proxy.HostID {
+// of the hosts moves few accounts. Hashes are those of the hosts.
+func homes(a directory.Account, hosts []proxy.HostID, hashes []uint64) []proxy.HostID {
 	number := min(max(int(a.Rate/homeRate), minHomes), len(hosts))
 	if number == len(hosts) {
 		return hosts
@@ -112,9 +116,10 @@
 		host  proxy.HostID
 		score uint64
 	}
+	account := xxhash.Sum64String(string(a.ID))
 	all := make([]scored, 0, len(hosts))
-	for _, h := range hosts {
-		all = append(all, scored{h, xxhash.Sum64String(string(a.ID) + "/" + string(h))})
+	for n, h := range hosts {
+		all = append(all, scored{h, mix(account ^ hashes[n])})
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	chosen := make([]proxy.HostID, 0, number)
@@ -124,6 +129,16 @@
 	return chosen
 }
 
+// mix spreads the bits of a combined hash, with the constants of MurmurHash3's
+// finalizer.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 // Homes returns the hosts that may lend tokens of an account.
 func (t *Table) Homes(id proxy.AccountID) []proxy.HostID {
 	t.mu.Lock()
