--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -360,6 +360,18 @@
 	}
 }
 
+// Guards against hosts that learn of nothing any more because the host that
+// relays the store to them has gone.
+func TestChangesReachFollowersOfALostRelay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 3)
+	w.stops[0]() // host-2 is in the same availability zone and follows host-0
+	is.NoErr(w.Configure(2, tenants[1:]))
+	w.awaitAnswer(w.hosts[2], "ledger-strict", "READ a", "ERROR AUTHFAIL")
+	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ a", "ERROR AUTHFAIL")
+}
+
 // Guards against a stop that cuts an open transaction.
 func TestStopLetsTransactionsEnd(t *testing.T) {
 	t.Parallel()
