--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -63,7 +63,7 @@
 	}
 	h.beliefs.mu.Lock()
 	if h.beliefs.configuration != nil {
-		h.beliefs.configured = sent
+		h.beliefs.configured = max(h.beliefs.configured, sent)
 	}
 	h.beliefs.mu.Unlock()
 	if changed {
