--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -139,9 +139,11 @@
 			}
 		},
 	}
-	h.mirrors = make(map[proxy.Kind]*mirror)
-	for _, kind := range []proxy.Kind{h.Decode.ConfigurationKind, h.Decode.InstanceKind, tenureKind, memberKind} {
-		h.mirrors[kind] = newMirror()
+	h.mirrors = map[proxy.Kind]*mirror{
+		h.Decode.ConfigurationKind: newMirror(gatherConfiguration),
+		h.Decode.InstanceKind:      newMirror(gatherInstances),
+		memberKind:                 newMirror(gatherMembers),
+		tenureKind:                 newMirror(0),
 	}
 	h.distrusted = make(map[proxy.HostID]proxy.Instant)
 	h.relays = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len(h.mirrors), DisableCompression: true}}
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -8,17 +8,26 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
+// mirrorLog is the number of changes that a mirror keeps for its followers.
+const mirrorLog = 1024
+
+// How long a relay gathers changes of a kind before it answers, since each
+// answer costs every follower a wake-up. Leadership is not gathered: a group
+// waits for it.
 const (
-	// mirrorLog is the number of changes that a mirror keeps for its followers.
-	mirrorLog = 1024
-	// gatherTime is how long a relay gathers changes before it answers, since each
-	// answer costs every follower a wake-up.
-	gatherTime = 20 * time.Millisecond
+	gatherConfiguration = 20 * time.Millisecond
+	gatherInstances     = 50 * time.Millisecond
+	// gatherMembers is long, since a fleet that starts registers by the hundred,
+	// and a new host waits for joinTime anyway.
+	gatherMembers = 400 * time.Millisecond
 )
 
 // mirror is a host's copy of a kind of the store's objects, which it also serves
 // to the other hosts of its zone.
 type mirror struct {
+	// gather is how long changes are gathered before followers get them.
+	gather time.Duration
+
 	mu sync.Mutex
 	// records are the objects by name, as of version of the store.
 	records map[string]proxy.Record
@@ -40,8 +49,8 @@
 	at     proxy.Version
 }
 
-func newMirror() *mirror {
-	return &mirror{records: make(map[string]proxy.Record), moved: make(chan struct{})}
+func newMirror(gather time.Duration) *mirror {
+	return &mirror{gather: gather, records: make(map[string]proxy.Record), moved: make(chan struct{})}
 }
 
 // replace takes a whole listing. What differs from the mirror counts as changed,
@@ -154,7 +163,7 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		time.Sleep(gatherTime)
+		time.Sleep(m.gather)
 		m.mu.Lock()
 	}
 	defer m.mu.Unlock()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -24,7 +24,7 @@
 	// exceeds the wait of the watches that bring proofs.
 	relayWait = 1800 * time.Millisecond
 	// relayTimeout limits a call to a relay.
-	relayTimeout = relayWait + 300*time.Millisecond
+	relayTimeout = relayWait + gatherMembers + 300*time.Millisecond
 	// relayAge is how much older than two waits of a watch a relayed proof may be.
 	// Until a watch returns, the proof of the one before it gets two waits old.
 	relayAge = 800 * time.Millisecond
