--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -18,17 +18,23 @@
 
 // attempt is one host's replacement of a primary.
 type attempt struct {
-	host    *Host
-	group   proxy.GroupID
+	host  *Host
+	group proxy.GroupID
+	// reason is why the primary is replaced, base the version of the record that
+	// the attempt starts from.
+	reason succession.Reason
+	base   proxy.Version
+	// continued reports that an earlier attempt may have sent promote calls.
+	continued bool
+	// record is what the attempt writes, and version the version that it got.
 	record  succession.Record
 	version proxy.Version
+
 	// began is the instant before the record was written, accepted the instant
 	// after the store acknowledged it.
 	began, accepted proxy.Instant
 	// waiting are the hosts that have not confirmed; nil before they are listed.
 	waiting map[proxy.HostID]peering.Peer
-	// continued reports that an earlier attempt may have sent promote calls.
-	continued bool
 	// ordered is the instance for which a promote call was sent first at
 	// orderedAt; answered tells whether the platform has accepted it. The
 	// platform has rejected the promotion of rejected.
@@ -37,24 +43,24 @@
 	answered          bool
 }
 
-// replace conducts the replacement of a primary.
-func (h *Host) replace(
-	ctx context.Context, id proxy.GroupID, record succession.Record, version proxy.Version, reason succession.Reason,
-	continued bool,
-) {
-	a := &attempt{host: h, group: id, record: record, began: h.Clock.Now(), continued: continued}
-	log := h.Log.With().Str("group", string(id)).Str("primary", string(record.Primary)).Logger()
-	if reason == succession.Unreachable && h.probe(record.Primary) {
+// run begins the replacement and conducts it to its end.
+func (a *attempt) run(ctx context.Context) {
+	h := a.host
+	if a.reason == succession.Unreachable && h.probe(a.record.Primary) {
 		return
 	}
-	log.Info().Str("reason", string(reason)).Uint64("version", uint64(version)).Msg("replacement begins")
-	written, err := h.Store.Write(ctx, tenureKind, string(id), record, version)
+	log := h.Log.With().Str("group", string(a.group)).Str("primary", string(a.record.Primary)).Logger()
+	log.Info().Str("reason", string(a.reason)).Uint64("version", uint64(a.base)).Msg("replacement begins")
+	a.began = h.Clock.Now()
+	written, err := h.Store.Write(ctx, tenureKind, string(a.group), a.record, a.base)
 	if err != nil {
+		// Where the answer was lost, the watch brings the record, and this host
+		// continues it as its own.
 		log.Info().Err(err).Msg("replacement was not begun")
 		return
 	}
 	a.version, a.accepted = written.Version, h.Clock.Now()
-	h.applyTenure(id, record, written.Version)
+	h.applyTenure(a.group, a.record, a.version)
 	h.reconfigure()
 	successor, err := a.conduct(ctx)
 	if err != nil {
--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -116,15 +116,17 @@
 	if !due || view.Held < h.rankDelay() {
 		return nil
 	}
-	record := succession.Record{
-		Primary: t.record.Primary,
-		Phase:   succession.Replacing,
-		Host:    h.Settings.Host,
-		Planned: reason == succession.Leaving,
+	a := &attempt{
+		host: h, group: id, reason: reason, base: t.version,
+		continued: t.record.Phase == succession.Replacing,
+		record: succession.Record{
+			Primary: t.record.Primary,
+			Phase:   succession.Replacing,
+			Host:    h.Settings.Host,
+			Planned: reason == succession.Leaving,
+		},
 	}
-	version := t.version
-	continued := t.record.Phase == succession.Replacing
-	return func(ctx context.Context) { h.replace(ctx, id, record, version, reason, continued) }
+	return a.run
 }
 
 // rankDelay returns how long this host lets others act first: by its place among
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -173,7 +173,7 @@
 		s.trace = trace{}
 		var answer proxy.Answer
 		if failure != nil {
-			answer = s.malformed(failure)
+			answer = s.failure(failure)
 		} else {
 			answer = s.answer(statement, arrived)
 		}
@@ -329,8 +329,12 @@
 	return c, nil
 }
 
-// failure builds the answer to a failed statement.
+// failure builds the answer to a failed statement. Every refusal of a statement
+// that has not run tells when to come back.
 func (s *session) failure(f *proxy.Failure) proxy.Answer {
+	if f.Code == proxy.Busy && f.RetryAfter <= 0 {
+		f.RetryAfter = retryTime
+	}
 	return proxy.Answer{Failure: f, State: s.state(), Position: s.position}
 }
 
@@ -338,8 +342,6 @@
 	return s.failure(&proxy.Failure{Code: code, Text: text})
 }
 
-func (s *session) malformed(f *proxy.Failure) proxy.Answer { return s.failure(f) }
-
 // done is the answer to a statement that the host answers itself.
 func (s *session) done() proxy.Answer {
 	return proxy.Answer{State: s.state(), Position: s.position}
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -343,7 +343,7 @@
 	w := start(t, 2)
 	w.Store.SetDown(true)
 	w.awaitAnswer(w.hosts[0], "ledger-strict", "READ a", "ERROR BUSY")
-	w.awaitAnswer(w.hosts[0], "ledger-own", "READ a", "ERROR BUSY configuration is not confirmed")
+	w.awaitAnswer(w.hosts[0], "ledger-own", "READ a", "ERROR BUSY configuration is not confirmed, retry after")
 	w.Store.SetDown(false)
 	w.await(w.hosts[0], "ledger-strict", "READ a")
 }
