Take the tests' ports from below those of outgoing connections

Several hosts start at the same time as clients connect; a port that was free when the test chose it could be taken before its host listened.

--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,16 +91,26 @@
 	})
 }
 
+// nextPort is the port that freeAddresses tries next. The ports lie below those
+// that the kernel gives to outgoing connections, one of which could otherwise
+// take a port before its host listens.
+var nextPort atomic.Int32
+
+const firstPort = 21000
+
 // freeAddresses returns addresses on loopback that nothing listens on.
 func freeAddresses(t *testing.T, number int) []string {
 	t.Helper()
-	is := is.New(t)
-	addresses := make([]string, number)
-	for n := range addresses {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		is.NoErr(err)
-		defer func() { _ = listener.Close() }()
-		addresses[n] = listener.Addr().String()
+	nextPort.CompareAndSwap(0, firstPort)
+	var addresses []string
+	for len(addresses) < number {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
