List after a lost watch, follow at most one relay behind a relay, refuse sessions on unproved configurations

Ruled out: the store, which answered listings all the while (one host had the version 1.5 s after its acknowledgement).

Conclusion: watches that are held back end with their time-out, then a listing brings the state; a detour leads to a host that follows the store.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -34,6 +33,8 @@
 	version proxy.Version
 	// proof is the instant as of which the state was known to be complete.
 	proof proxy.Instant
+	// relist reports that the last call failed, so that the next one lists.
+	relist bool
 	// detour is the instant until which hosts of other zones are followed, since
 	// the store does not answer this host.
 	detour proxy.Instant
@@ -60,19 +61,25 @@
 			}
 			continue
 		}
+		watched := f.version != 0 && !f.relist
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil && !errors.Is(err, proxy.ErrHistoryGone) {
+		f.relist = err != nil
+		if err != nil && watched {
+			// A store that holds watches back, or has dropped its history, may still
+			// answer a listing at once.
+			f.host.Log.Info().Err(err).Str("kind", string(f.kind)).Msg("watch ended, listing again")
+			continue
+		}
+		if err != nil {
 			f.detour = f.host.Clock.Now().Add(detourTime)
 		}
 		f.note(err)
 		switch {
 		case err == nil:
 			pause = retryTime
-		case errors.Is(err, proxy.ErrHistoryGone):
-			f.version = 0
 		case !timing.Sleep(ctx, jitter(pause)):
 			return
 		default:
@@ -91,31 +98,31 @@
 func (f *follower) step(ctx context.Context) error {
 	sent := f.host.Clock.Now()
 	f.host.Metrics.calls.Inc(1)
-	if f.version == 0 || sent.Sub(f.proof) > f.wait+staleTime {
+	if f.version == 0 || f.relist || sent.Sub(f.proof) > f.wait+staleTime {
 		listing, err := f.host.Store.List(ctx, f.kind)
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
 		}
-		f.take(sent, listing, true)
+		f.take(sent, listing, true, 0)
 		return nil
 	}
 	listing, err := f.host.Store.Watch(ctx, f.kind, f.version, f.wait)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
-	f.take(sent, listing, false)
+	f.take(sent, listing, false, 0)
 	return nil
 }
 
-// take applies a listing or changes. The mirror follows what the host itself
-// has applied.
-func (f *follower) take(proof proxy.Instant, listing proxy.Listing, whole bool) {
+// take applies a listing or changes that came over a number of relays. The
+// mirror follows what the host itself has applied.
+func (f *follower) take(proof proxy.Instant, listing proxy.Listing, whole bool, hops int) {
 	if whole {
 		f.replace(proof, listing.Records)
-		f.mirror.replace(proof, listing)
+		f.mirror.replace(proof, listing, hops)
 	} else {
 		f.change(proof, listing.Records)
-		f.mirror.change(proof, listing)
+		f.mirror.change(proof, listing, hops)
 	}
 	f.version, f.proof = listing.Version, proof
 }
@@ -140,16 +147,20 @@
 		f.host.distrust(relay.Host, eris.Errorf("proof of %s is %v old", f.kind, age))
 		return false
 	}
+	if answer.Hops > maxHops {
+		f.host.distrust(relay.Host, eris.Errorf("%s came over %d relays", f.kind, answer.Hops))
+		return false
+	}
 	if answer.Version < f.version {
 		// The relay has yet to learn what this host has read itself.
 		return true
 	}
-	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole)
+	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole, answer.Hops+1)
 	return true
 }
 
 func (f *follower) note(err error) {
-	failing := err != nil && !errors.Is(err, proxy.ErrHistoryGone)
+	failing := err != nil
 	if failing != f.failing {
 		f.failing = failing
 		if failing {
@@ -159,7 +170,4 @@
 			f.host.Log.Info().Str("kind", string(f.kind)).Msg("store regained")
 		}
 	}
-	if errors.Is(err, proxy.ErrHistoryGone) {
-		f.host.Log.Info().Str("kind", string(f.kind)).Msg("history gone, listing again")
-	}
 }
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -35,6 +35,8 @@
 	// log holds the newest changes. It is complete after version floor.
 	log   []logged
 	floor proxy.Version
+	// hops is the number of relays between the mirror and the store.
+	hops int
 	// failing reports that the mirror's own source does not answer.
 	failing bool
 	// proof is the instant as of which the mirror is known to be complete.
@@ -55,7 +57,7 @@
 
 // replace takes a whole listing. What differs from the mirror counts as changed,
 // so that followers need not read everything again.
-func (m *mirror) replace(proof proxy.Instant, listing proxy.Listing) {
+func (m *mirror) replace(proof proxy.Instant, listing proxy.Listing, hops int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.version == 0 {
@@ -74,17 +76,17 @@
 			m.apply(record, listing.Version)
 		}
 	}
-	m.advance(proof, listing.Version)
+	m.advance(proof, listing.Version, hops)
 }
 
 // change takes changes.
-func (m *mirror) change(proof proxy.Instant, listing proxy.Listing) {
+func (m *mirror) change(proof proxy.Instant, listing proxy.Listing, hops int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, record := range listing.Records {
 		m.apply(record, listing.Version)
 	}
-	m.advance(proof, listing.Version)
+	m.advance(proof, listing.Version, hops)
 }
 
 func (m *mirror) apply(record proxy.Record, at proxy.Version) {
@@ -108,7 +110,8 @@
 	m.wake()
 }
 
-func (m *mirror) advance(proof proxy.Instant, version proxy.Version) {
+func (m *mirror) advance(proof proxy.Instant, version proxy.Version, hops int) {
+	m.hops = hops
 	m.version = max(m.version, version)
 	m.proof = max(m.proof, proof)
 	m.failing = false
@@ -129,6 +132,8 @@
 	// Lead is how long after the arrival of the request the relay's proof holds;
 	// negative for a proof that precedes it.
 	Lead time.Duration `cbor:"4,keyasint"`
+	// Hops is the number of relays between the relay and the store.
+	Hops int `cbor:"5,keyasint,omitempty"`
 }
 
 // since returns what a follower that knows a version lacks. The caller holds the
@@ -170,7 +175,7 @@
 	if m.proof == 0 || m.failing {
 		return Relayed{}, false
 	}
-	r := Relayed{Version: m.version, Lead: m.proof.Sub(arrived)}
+	r := Relayed{Version: m.version, Lead: m.proof.Sub(arrived), Hops: m.hops}
 	r.Records, r.Whole = m.since(known)
 	return r, true
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -31,9 +31,13 @@
 	// unprovenAge is the age at which a state is read again whose age does not
 	// matter otherwise.
 	unprovenAge = 15 * time.Second
+	// maxHops is the number of relays behind a relay that is followed: one of
+	// another zone. More could mean hosts that follow each other, none of which
+	// asks the store.
+	maxHops = 1
 	// detourTime is how long a host without the store follows other zones before
 	// it asks the store again.
-	detourTime = 3 * time.Second
+	detourTime = 1500 * time.Millisecond
 	// distrustTime is how long a relay that failed is not followed.
 	distrustTime = 4 * time.Second
 	// maxRelayed bounds an answer of a relay, in bytes.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -139,9 +139,9 @@
 
 // admitSession checks what a client names at startup.
 func (h *Host) admitSession(database, key string) error {
-	c, _ := h.beliefs.current()
-	if c == nil {
-		return &proxy.Failure{Code: proxy.Busy, Text: "host has no configuration yet", RetryAfter: time.Second}
+	c, failure := h.permit(h.Clock.Now())
+	if failure != nil {
+		return failure
 	}
 	route, ok := c.Routes[database]
 	if !ok {
