--- a/internal/emulator/deployment/store.go
+++ b/internal/emulator/deployment/store.go
@@ -19,8 +19,8 @@
 	// floor is the revision before which the history is gone.
 	floor uint64
 	moved chan struct{}
-	// down makes every call fail with 503.
-	down bool
+	// down makes every call fail with 503, held keeps watches from returning.
+	down, held bool
 }
 
 type object struct {
@@ -51,6 +51,14 @@
 	s.wake()
 }
 
+// HoldWatches makes watches return nothing, not even at the end of their wait.
+func (s *Store) HoldWatches(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = held
+	s.wake()
+}
+
 // Compact drops the history, so that watches have to list again.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -193,13 +201,13 @@
 				events = append(events, c)
 			}
 		}
-		moved, revision, down := s.moved, s.revision, s.down
+		moved, revision, down, held := s.moved, s.revision, s.down, s.held
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if len(events) > 0 || expired {
+		if !held && (len(events) > 0 || expired) {
 			respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
 			return
 		}
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -391,6 +391,19 @@
 	}
 }
 
+// Guards against hosts that keep following each other while the store holds
+// watches back and only listings tell what has changed.
+func TestChangesArriveWhileWatchesAreHeld(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 3)
+	w.Store.HoldWatches(true)
+	is.NoErr(w.Configure(2, tenants[1:]))
+	for _, h := range w.hosts {
+		w.awaitAnswer(h, "ledger-strict", "READ a", "ERROR AUTHFAIL")
+	}
+}
+
 // Guards against hosts that learn of nothing any more because the host that
 // relays the store to them has gone.
 func TestChangesReachFollowersOfALostRelay(t *testing.T) {
