Pass tokens only between hosts with the same limits

A host that had a lowered limit borrowed from one that had yet to learn of it, and got up to 64 tokens of the old limit.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -318,7 +318,7 @@
 	b.mu.Unlock()
 	h.lender.SetPeers(peers)
 	if configuration != nil && len(names) > 0 {
-		h.allowances.Configure(now, configuration.Accounts, names, counted)
+		h.allowances.Configure(now, configuration.Revision, configuration.Accounts, names, counted)
 	}
 }
 
--- a/internal/peering/lender.go
+++ b/internal/peering/lender.go
@@ -72,6 +72,8 @@
 type request struct {
 	to   *peer
 	sent proxy.Instant
+	// revision is that of the limits when the request was made.
+	revision proxy.Revision
 	// wanted are the tokens asked for, by account.
 	wanted map[proxy.AccountID]int
 }
@@ -158,9 +160,9 @@
 
 func (l *Lender) lend(m message, to netip.AddrPort) {
 	now := l.Clock.Now()
-	answer := message{Request: m.Request, Answer: true}
+	answer := message{Request: m.Request, Answer: true, Revision: m.Revision}
 	for _, wanted := range m.Loans {
-		lent, left := l.Allowances.Lend(now, wanted.Account, wanted.Tokens)
+		lent, left := l.Allowances.Lend(now, m.Revision, wanted.Account, wanted.Tokens)
 		answer.Loans = append(answer.Loans, loan{Account: wanted.Account, Tokens: lent, Left: left})
 	}
 	l.send(answer, to)
@@ -193,7 +195,7 @@
 			continue
 		}
 		delete(r.wanted, lent.Account)
-		l.Allowances.Credit(now, lent.Account, min(lent.Tokens, wanted))
+		l.Allowances.Credit(now, r.revision, lent.Account, min(lent.Tokens, wanted))
 		if lent.Left == 0 && lent.Tokens < wanted {
 			r.to.empty[lent.Account] = now.Add(emptyTime)
 		}
@@ -207,7 +209,7 @@
 // whether anything was asked for or is still on its way.
 func (l *Lender) Borrow() bool {
 	now := l.Clock.Now()
-	needs := l.Allowances.Needs(now)
+	needs, revision := l.Allowances.Needs(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for number, r := range l.pending {
@@ -228,19 +230,19 @@
 		}
 	}
 	for p, loans := range requests {
-		l.request(now, p, loans)
+		l.request(now, p, revision, loans)
 	}
 	return len(l.pending) > 0
 }
 
-func (l *Lender) request(now proxy.Instant, p *peer, loans []loan) {
+func (l *Lender) request(now proxy.Instant, p *peer, revision proxy.Revision, loans []loan) {
 	number := l.Random()
-	r := request{to: p, sent: now, wanted: make(map[proxy.AccountID]int, len(loans))}
+	r := request{to: p, sent: now, revision: revision, wanted: make(map[proxy.AccountID]int, len(loans))}
 	for _, wanted := range loans {
 		r.wanted[wanted.Account] = wanted.Tokens
 	}
 	l.pending[number] = r
-	l.send(message{Request: number, Loans: loans}, p.Address)
+	l.send(message{Request: number, Revision: revision, Loans: loans}, p.Address)
 }
 
 // requested reports whether a request for an account is on its way.
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -15,6 +15,8 @@
 	Request uint64 `cbor:"1,keyasint"`
 	Answer  bool   `cbor:"2,keyasint,omitempty"`
 	Loans   []loan `cbor:"3,keyasint,omitempty"`
+	// Revision is that of the limits under which tokens are wanted or lent.
+	Revision proxy.Revision `cbor:"6,keyasint,omitempty"`
 	// State is the answer to a request without loans.
 	State *State `cbor:"4,keyasint,omitempty"`
 	// Notice comes with such a request.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -79,7 +79,7 @@
 	hosts := []proxy.HostID{"a", "b"}
 	now := stopped{}.Now()
 	for _, h := range []*host{a, b} {
-		h.Allowances.Configure(now.Add(-time.Minute), limits, hosts, true)
+		h.Allowances.Configure(now.Add(-time.Minute), 1, limits, hosts, true)
 		h.SetPeers([]peering.Peer{a.Peer, b.Peer})
 	}
 	a.SetPeers([]peering.Peer{b.Peer})
--- a/pkg/proxy/allowance/table.go
+++ b/pkg/proxy/allowance/table.go
@@ -56,6 +56,9 @@
 
 	mu      sync.Mutex
 	buckets map[proxy.AccountID]*bucket
+	// revision is that of the limits. Tokens pass only between hosts with the
+	// same one, so that none of an old limit reaches a host with a lower new one.
+	revision proxy.Revision
 }
 
 // bucket is a token bucket. It starts empty: what an earlier process of the host
@@ -71,13 +74,16 @@
 	asked  proxy.Instant
 }
 
-// Configure sets the limits of the accounts and the hosts that share them.
+// Configure sets the limits of the accounts, as of a revision of the
+// configuration, and the hosts that share them.
 // Counted reports that the other hosts count this one; until then it is no home.
 func (t *Table) Configure(
-	now proxy.Instant, accounts map[proxy.AccountID]directory.Account, hosts []proxy.HostID, counted bool,
+	now proxy.Instant, revision proxy.Revision, accounts map[proxy.AccountID]directory.Account,
+	hosts []proxy.HostID, counted bool,
 ) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.revision = revision
 	hashes := make([]uint64, len(hosts))
 	for n, h := range hosts {
 		hashes[n] = xxhash.Sum64String(string(h))
@@ -225,8 +231,9 @@
 	Tokens  int
 }
 
-// Needs returns what the host would borrow now, by account.
-func (t *Table) Needs(now proxy.Instant) []Need {
+// Needs returns what the host would borrow now, by account, and the revision of
+// its limits.
+func (t *Table) Needs(now proxy.Instant) ([]Need, proxy.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var needs []Need
@@ -244,16 +251,17 @@
 		needs = append(needs, Need{Account: id, Tokens: min(max(missing, 1), maxLoan)})
 	}
 	slices.SortFunc(needs, func(a, b Need) int { return strings.Compare(string(a.Account), string(b.Account)) })
-	return needs
+	return needs, t.revision
 }
 
 // Lend takes up to wanted tokens that the host does not need soon out of the
-// account's bucket. It returns them and what the host could still lend.
-func (t *Table) Lend(now proxy.Instant, id proxy.AccountID, wanted int) (lent, left int) {
+// account's bucket. It returns them and what the host could still lend. A host
+// with other limits gets nothing.
+func (t *Table) Lend(now proxy.Instant, revision proxy.Revision, id proxy.AccountID, wanted int) (lent, left int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.buckets[id]
-	if b == nil || wanted < 0 {
+	if b == nil || wanted < 0 || revision != t.revision {
 		return 0, 0
 	}
 	b.fill(now)
@@ -263,12 +271,12 @@
 	return lent, spare - lent
 }
 
-// Credit adds borrowed tokens.
-func (t *Table) Credit(now proxy.Instant, id proxy.AccountID, tokens int) {
+// Credit adds tokens that were borrowed under the limits of a revision.
+func (t *Table) Credit(now proxy.Instant, revision proxy.Revision, id proxy.AccountID, tokens int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.buckets[id]
-	if b == nil || tokens <= 0 {
+	if b == nil || tokens <= 0 || revision != t.revision {
 		return
 	}
 	b.fill(now)
--- a/pkg/proxy/allowance/table_test.go
+++ b/pkg/proxy/allowance/table_test.go
@@ -23,11 +23,17 @@
 	tables := make([]*allowance.Table, hosts)
 	for n, id := range ids {
 		tables[n] = &allowance.Table{Self: id, HandOver: 5 * time.Second}
-		tables[n].Configure(0, limits, ids, true)
+		tables[n].Configure(0, 1, limits, ids, true)
 	}
 	return tables
 }
 
+// needs returns what a host would borrow now.
+func needs(host *allowance.Table, now proxy.Instant) []allowance.Need {
+	wanted, _ := host.Needs(now)
+	return wanted
+}
+
 func accounts(rate, burst float64) map[proxy.AccountID]directory.Account {
 	return map[proxy.AccountID]directory.Account{account: {ID: account, Rate: rate, Burst: burst}}
 }
@@ -50,11 +56,11 @@
 					admitted++
 				}
 			}
-			for _, need := range host.Needs(now) {
+			for _, need := range needs(host, now) {
 				lender := tables[rapid.IntRange(0, hosts-1).Draw(t, "lender")]
-				lent, _ := lender.Lend(now, need.Account, need.Tokens)
+				lent, _ := lender.Lend(now, 1, need.Account, need.Tokens)
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
-					host.Credit(now, need.Account, lent)
+					host.Credit(now, 1, need.Account, lent)
 				}
 			}
 		}
@@ -80,10 +86,10 @@
 				refused++
 			}
 		}
-		for _, need := range tables[0].Needs(now) {
+		for _, need := range needs(tables[0], now) {
 			lender = lender%(hosts-1) + 1
-			lent, _ := tables[lender].Lend(now, need.Account, need.Tokens)
-			tables[0].Credit(now, need.Account, lent)
+			lent, _ := tables[lender].Lend(now, 1, need.Account, need.Tokens)
+			tables[0].Credit(now, 1, need.Account, lent)
 		}
 	}
 	is.True(refused*100 <= asked) // at most 1% refused within the rate
@@ -98,7 +104,7 @@
 		now = now.Add(10 * time.Millisecond)
 		_ = table.Admit(now, account)
 	}
-	lent, _ := table.Lend(now, account, 100)
+	lent, _ := table.Lend(now, 1, account, 100)
 	is.True(lent <= 20)
 	is.True(table.Admit(now.Add(10*time.Millisecond), account) == nil)
 }
@@ -108,7 +114,7 @@
 	is := is.New(t)
 	var table allowance.Table
 	is.True(table.Admit(0, account) != nil)
-	table.Configure(0, accounts(1, 1), nil, false)
+	table.Configure(0, 1, accounts(1, 1), nil, false)
 	is.True(table.Admit(proxy.Instant(time.Hour), account) != nil)
 }
 
@@ -117,8 +123,8 @@
 	is := is.New(t)
 	limits := accounts(10, 10)
 	table := &allowance.Table{Self: "b", HandOver: 5 * time.Second}
-	table.Configure(0, limits, []proxy.HostID{"a"}, true)
-	table.Configure(proxy.Instant(time.Second), limits, []proxy.HostID{"b"}, true)
+	table.Configure(0, 1, limits, []proxy.HostID{"a"}, true)
+	table.Configure(proxy.Instant(time.Second), 1, limits, []proxy.HostID{"b"}, true)
 	is.True(table.Admit(proxy.Instant(6*time.Second), account) != nil)
 	is.True(table.Admit(proxy.Instant(7*time.Second), account) == nil)
 }
@@ -139,9 +145,9 @@
 			if !refused {
 				break
 			}
-			for _, need := range host.Needs(now) {
-				lent, _ := tables[[]rune(string(home))[0]-'a'].Lend(now, need.Account, need.Tokens)
-				host.Credit(now, need.Account, lent)
+			for _, need := range needs(host, now) {
+				lent, _ := tables[[]rune(string(home))[0]-'a'].Lend(now, 1, need.Account, need.Tokens)
+				host.Credit(now, 1, need.Account, lent)
 			}
 			refused = host.Retry(now, account) != nil
 		}
@@ -164,10 +170,30 @@
 	}
 	admitted := 0
 	for _, table := range tables {
-		table.Configure(now, accounts(6, 6), ids, true)
+		table.Configure(now, 2, accounts(6, 6), ids, true)
 		for table.Admit(now, account) == nil {
 			admitted++
 		}
 	}
 	is.True(admitted <= 6) // the burst
 }
+
+// Guards against tokens of an old limit that a host with the new one borrows
+// from a host that has yet to learn of it, before or after it has asked.
+func TestLoansEndAtARevision(t *testing.T) {
+	is := is.New(t)
+	tables := fleet(2, accounts(1000, 1000))
+	now := proxy.Instant(time.Minute)
+	ids := []proxy.HostID{tables[0].Self, tables[1].Self}
+	lent, _ := tables[1].Lend(now, 1, account, 10)
+	is.Equal(lent, 10)
+	tables[0].Configure(now, 2, accounts(0, 2), ids, true)
+	for drained := false; !drained; {
+		drained = tables[0].Admit(now, account) != nil
+	}
+	tables[0].Credit(now, 1, account, lent)
+	is.True(tables[0].Retry(now, account) != nil)
+	lent, left := tables[1].Lend(now, 2, account, 10)
+	is.Equal(lent, 0)
+	is.Equal(left, 0)
+}
