Remove what nothing uses and write once what stood twice

Found by reading the whole change: settings, fields and a method that nothing reads; a second await of a transaction's opening; the checks of route and key, of a prepared name, of a suspected primary and of touch with the store, the use of a record that did not come from the watch, and the client of the line protocol, each written two to four times. The operators' commands open the store in one place, which also closes it. The order of waiting operations is one comparison.

--- a/cmd/emulated-deployment/main.go
+++ b/cmd/emulated-deployment/main.go
@@ -104,7 +104,6 @@
 ready = "127.0.0.1:%d"
 [bounds]
 revoke_ms = 5000
-config_apply_ms = 3000
 drain_ms = 7000
 grace_s = 6
 [platform]
--- a/demo/entry/main.go
+++ b/demo/entry/main.go
@@ -4,12 +4,12 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"time"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 )
 
 // patience is how long the checks wait for the hosts to serve.
@@ -42,7 +42,7 @@
 		return err
 	}
 	steps := []struct {
-		session    *session
+		session    *deployment.Client
 		text, want string
 	}{
 		{writer, "WRITE rug-1 ordered", "COMPLETE i-"},
@@ -57,7 +57,11 @@
 		{reader, "NONSENSE", "ERROR MALFORMED"},
 	}
 	for _, step := range steps {
-		if got := step.session.query(step.text); !strings.HasPrefix(got, step.want) {
+		got, err := step.session.Query(step.text)
+		if err != nil {
+			return fmt.Errorf("%s: %w", step.text, err)
+		}
+		if !strings.HasPrefix(got, step.want) {
 			return fmt.Errorf("%s: got %q, want %q", step.text, got, step.want)
 		}
 	}
@@ -76,8 +80,11 @@
 			last = err.Error()
 			continue
 		}
-		last = s.query("READ rug-0")
-		_ = s.conn.Close()
+		last, err = s.Query("READ rug-0")
+		s.Close()
+		if err != nil {
+			last = err.Error()
+		}
 		if strings.HasPrefix(last, "DATAROW") {
 			return nil
 		}
@@ -85,46 +92,15 @@
 	return fmt.Errorf("%s does not serve: %s", address, last)
 }
 
-type session struct {
-	conn net.Conn
-	in   *bufio.Reader
-	next int
-}
-
-func open(address, database, key string) (*session, error) {
-	conn, err := net.Dial("tcp4", address)
-	if err != nil {
-		return nil, fmt.Errorf("connect: %w", err)
-	}
-	s := &session{conn: conn, in: bufio.NewReader(conn)}
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
-		return nil, fmt.Errorf("startup: %w", err)
-	}
-	line, err := s.in.ReadString('\n')
+// open starts a session.
+func open(address, database, key string) (*deployment.Client, error) {
+	c, hello, err := deployment.Dial(address, database, key)
 	if err != nil {
-		return nil, fmt.Errorf("startup: %w", err)
-	}
-	if !strings.HasPrefix(line, "READY") {
-		return nil, fmt.Errorf("startup: %s", strings.TrimSpace(line))
+		return nil, fmt.Errorf("open session: %w", err)
 	}
-	return s, nil
-}
-
-// query returns the lines of the answer, joined by bars.
-func (s *session) query(text string) string {
-	s.next++
-	if _, err := fmt.Fprintf(s.conn, "QUERY demo-%d %s\r\n", s.next, text); err != nil {
-		return err.Error()
-	}
-	var lines []string
-	for {
-		line, err := s.in.ReadString('\n')
-		if err != nil {
-			return err.Error()
-		}
-		lines = append(lines, strings.TrimSpace(line))
-		if strings.HasPrefix(line, "READY") {
-			return strings.Join(lines, "|")
-		}
+	if !strings.HasPrefix(hello, "READY") {
+		c.Close()
+		return nil, fmt.Errorf("startup: %s", hello)
 	}
+	return c, nil
 }
--- /dev/null
+++ b/internal/emulator/deployment/client.go
@@ -0,0 +1,72 @@
+package deployment
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+)
+
+// Client is a client of the line protocol, for tests and checks.
+type Client struct {
+	conn net.Conn
+	in   *bufio.Reader
+	next int
+}
+
+// Dial connects to a host and sends the startup message. It returns the answer
+// beside the client, which is nil where there is none.
+func Dial(address, database, key string) (*Client, string, error) {
+	conn, err := net.Dial("tcp4", address)
+	if err != nil {
+		return nil, "", fmt.Errorf("connect: %w", err)
+	}
+	c := &Client{conn: conn, in: bufio.NewReader(conn)}
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
+		c.Close()
+		return nil, "", fmt.Errorf("send startup: %w", err)
+	}
+	answer, err := c.Read()
+	if err != nil {
+		c.Close()
+		return nil, "", fmt.Errorf("startup: %w", err)
+	}
+	return c, answer, nil
+}
+
+// Read returns the next line.
+func (c *Client) Read() (string, error) {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return "", fmt.Errorf("read line: %w", err)
+	}
+	return strings.TrimSpace(line), nil
+}
+
+// Query sends a statement under an id of its own and returns the lines of the
+// answer, joined by bars.
+func (c *Client) Query(text string) (string, error) {
+	c.next++
+	return c.QueryAs(fmt.Sprintf("r%d", c.next), text)
+}
+
+// QueryAs is Query with a given id.
+func (c *Client) QueryAs(id, text string) (string, error) {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return "", fmt.Errorf("send query: %w", err)
+	}
+	var lines []string
+	for {
+		line, err := c.Read()
+		if err != nil {
+			return "", err
+		}
+		lines = append(lines, line)
+		if strings.HasPrefix(line, "READY") {
+			return strings.Join(lines, "|"), nil
+		}
+	}
+}
+
+// Close ends the connection.
+func (c *Client) Close() { _ = c.conn.Close() }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -60,8 +60,7 @@
 		return
 	}
 	a.version, a.accepted = written.Version, h.Clock.Now()
-	h.applyTenure(a.group, a.record, a.version)
-	h.reconfigure()
+	h.learnTenure(a.group, a.record, a.version)
 	successor, err := a.conduct(ctx)
 	if err != nil {
 		log.Warn().Err(err).Uint64("version", uint64(a.version)).Msg("replacement failed")
@@ -248,8 +247,7 @@
 	for a.current() {
 		written, err := a.host.Store.Write(ctx, tenureKind, string(a.group), record, a.version)
 		if err == nil {
-			a.host.applyTenure(a.group, record, written.Version)
-			a.host.reconfigure()
+			a.host.learnTenure(a.group, record, written.Version)
 			return nil
 		}
 		a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("new primary was not recorded")
--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -91,14 +91,8 @@
 	return b.configuration, b.configured
 }
 
-// leader returns the group's primary and the version of its record if the host
-// may use it at now.
-func (b *beliefs) leader(now proxy.Instant, id proxy.GroupID) (proxy.InstanceID, proxy.Version, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.leaderLocked(now, id)
-}
-
+// leaderLocked returns the group's primary and the version of its record if the
+// host may use it at now. The caller holds the lock.
 func (b *beliefs) leaderLocked(now proxy.Instant, id proxy.GroupID) (proxy.InstanceID, proxy.Version, bool) {
 	t := b.tenures[id]
 	if t == nil || t.record.Phase != succession.Settled || now >= b.led.Add(succession.Lease) {
@@ -230,6 +224,19 @@
 	}
 }
 
+// unreachableLocked reports whether this host has failed for long enough to reach
+// an instance that it says so to others. The caller holds the lock.
+func (b *beliefs) unreachableLocked(now proxy.Instant, id proxy.InstanceID) bool {
+	since := b.suspects[id]
+	return since != 0 && now.Sub(since) > suspectTime
+}
+
+// inTouchLocked reports whether the store has recently confirmed the tenures, so
+// that this host may change what others rely on. The caller holds the lock.
+func (b *beliefs) inTouchLocked(now proxy.Instant) bool {
+	return b.led != 0 && now.Sub(b.led) <= 2*proofWait+storeSlack
+}
+
 // suspected returns the suspected primaries and forgets other suspects, which
 // nobody votes on.
 func (b *beliefs) suspected() []proxy.InstanceID {
--- a/internal/entry/conductor.go
+++ b/internal/entry/conductor.go
@@ -99,7 +99,7 @@
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.led == 0 || now.Sub(b.led) > 2*proofWait+storeSlack || b.configured == 0 {
+	if !b.inTouchLocked(now) || b.configured == 0 {
 		return nil
 	}
 	t := b.tenures[id]
@@ -190,6 +190,5 @@
 		}
 		return
 	}
-	h.applyTenure(id, record, written.Version)
-	h.reconfigure()
+	h.learnTenure(id, record, written.Version)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -182,6 +182,15 @@
 	return answer, nil
 }
 
+// checkPrepared refuses the execution of a statement that the session has not
+// prepared.
+func (s *session) checkPrepared(st proxy.Statement) *proxy.Failure {
+	if _, ok := s.prepared[st.Name]; st.Verb == proxy.Execute && !ok {
+		return &proxy.Failure{Code: proxy.UnknownStatement, Text: "no prepared statement has this name"}
+	}
+	return nil
+}
+
 // writes reports whether a statement writes.
 func (s *session) writes(st proxy.Statement) bool {
 	return st.Verb == proxy.WriteItem || st.Verb == proxy.Execute && s.prepared[st.Name].Writes
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -133,11 +133,7 @@
 	h.lender = &peering.Lender{
 		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
 		State: h.state,
-		Learn: func(n peering.Notice) {
-			if h.applyTenure(n.Group, n.Record, n.Version) {
-				h.reconfigure()
-			}
-		},
+		Learn: func(n peering.Notice) { h.learnTenure(n.Group, n.Record, n.Version) },
 	}
 	h.mirrors = map[proxy.Kind]*mirror{
 		h.Decode.ConfigurationKind: newMirror(gatherConfiguration),
@@ -352,10 +348,7 @@
 // countedLocked reports whether all other hosts count this one, so that it may
 // use its part of rates. The caller holds the lock of the beliefs.
 func (h *Host) countedLocked(now proxy.Instant) bool {
-	if h.beliefs.counted == 0 {
-		return false
-	}
-	return now >= h.beliefs.counted
+	return h.beliefs.counted != 0 && now >= h.beliefs.counted
 }
 
 // ready reports whether the host can serve clients.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -260,7 +260,7 @@
 	if m.silent == 0 {
 		m.silent = now
 	}
-	if now.Sub(m.silent) < lostTime || now.Sub(b.led) > 2*proofWait+storeSlack {
+	if now.Sub(m.silent) < lostTime || !b.inTouchLocked(now) {
 		return proxy.Record{}
 	}
 	return proxy.Record{Name: string(id), Version: m.version}
@@ -277,7 +277,7 @@
 // state is what this host tells others that ask.
 func (h *Host) state() peering.State {
 	now := h.Clock.Now()
-	s := peering.State{Host: h.Settings.Host, Incarnation: h.incarnation}
+	s := peering.State{Host: h.Settings.Host}
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -285,7 +285,7 @@
 		if t.record.Phase == succession.Replacing && t.accepted {
 			s.Accepted = append(s.Accepted, peering.Acceptance{Group: id, Version: t.version})
 		}
-		if since := b.suspects[t.record.Primary]; since != 0 && now.Sub(since) > suspectTime {
+		if b.unreachableLocked(now, t.record.Primary) {
 			s.Suspects = append(s.Suspects, t.record.Primary)
 		}
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -143,14 +143,24 @@
 	if failure != nil {
 		return failure
 	}
+	if _, _, failure = identify(c, database, key); failure != nil {
+		return failure
+	}
+	return nil
+}
+
+// identify returns the route of a database and the account of a key, which is
+// empty where the route is open and the key is not known.
+func identify(c *directory.Configuration, database, key string) (directory.Route, proxy.AccountID, *proxy.Failure) {
 	route, ok := c.Routes[database]
 	if !ok {
-		return &proxy.Failure{Code: proxy.UnknownDatabase, Text: "no route has this name"}
+		return route, "", &proxy.Failure{Code: proxy.UnknownDatabase, Text: "no route has this name"}
 	}
-	if _, ok := c.Keys[key]; !ok && !route.Open {
-		return &proxy.Failure{Code: proxy.UnknownKey, Text: "key is not known"}
+	account, ok := c.Keys[key]
+	if !ok && !route.Open {
+		return route, "", &proxy.Failure{Code: proxy.UnknownKey, Text: "key is not known"}
 	}
-	return nil
+	return route, account, nil
 }
 
 // run answers statements until the session ends.
@@ -262,7 +272,6 @@
 // define changes the session's values and prepared statements. They reach an
 // instance with the next statement that needs them.
 func (s *session) define(st proxy.Statement) proxy.Answer {
-	s.awaitOpening()
 	if s.transaction != nil && s.transaction.failed {
 		return s.fail(proxy.Malformed, "transaction has failed")
 	}
@@ -288,16 +297,9 @@
 	if failure != nil {
 		return op, failure
 	}
-	var ok bool
-	if op.route, ok = c.Routes[s.database]; !ok {
-		return op, &proxy.Failure{Code: proxy.UnknownDatabase, Text: "no route has this name"}
-	}
-	op.account, ok = c.Keys[s.key]
-	if !ok && !op.route.Open {
-		return op, &proxy.Failure{Code: proxy.UnknownKey, Text: "key is not known"}
-	}
-	if !ok {
-		return op, nil
+	op.route, op.account, failure = identify(c, s.database, s.key)
+	if _, known := c.Keys[s.key]; failure != nil || !known {
+		return op, failure
 	}
 	return op, s.host.allow(arrived, op.account)
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,12 +30,8 @@
 	Memory int64
 	// Descriptors is the limit of open sockets, zero for none.
 	Descriptors int
-	// Heartbeat is the interval at which instances renew their entries.
-	Heartbeat time.Duration
 	// Withdrawal is the time within which a withdrawn key stops working.
 	Withdrawal time.Duration
-	// Apply is the time within which a configuration is in force.
-	Apply time.Duration
 	// Drain is how long a leaving instance may be used.
 	Drain time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -38,10 +38,8 @@
 
 // single runs a statement outside a transaction.
 func (s *session) single(op operation, st proxy.Statement) proxy.Answer {
-	if st.Verb == proxy.Execute {
-		if _, ok := s.prepared[st.Name]; !ok {
-			return s.fail(proxy.UnknownStatement, "no prepared statement has this name")
-		}
+	if failure := s.checkPrepared(st); failure != nil {
+		return s.failure(failure)
 	}
 	t := &try{operation: op, statement: st, writes: s.writes(st)}
 	t.primary = t.writes || op.route.Consistency == directory.Strict
@@ -190,7 +188,7 @@
 }
 
 // awaitLeadership reports whether a leadership still holds. While that is not
-// known it waits for the store, for as long as a lease lasts.
+// known it waits for the store, for as long as a watch takes to bring a proof.
 func (h *Host) awaitLeadership(group proxy.GroupID, version proxy.Version) bool {
 	start := h.Clock.Now()
 	for now := start; now.Sub(start) < proofWait; now = h.Clock.Now() {
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -51,7 +51,6 @@
 
 // continueTransaction runs a statement of the open transaction.
 func (s *session) continueTransaction(st proxy.Statement, arrived proxy.Instant) proxy.Answer {
-	s.awaitOpening()
 	t := s.transaction
 	switch {
 	case st.Verb == proxy.Rollback:
@@ -182,10 +181,8 @@
 	h, t := s.host, s.transaction
 	writes := s.writes(st)
 	t.wrote = t.wrote || writes
-	if st.Verb == proxy.Execute {
-		if _, ok := s.prepared[st.Name]; !ok {
-			return s.abort(&proxy.Failure{Code: proxy.UnknownStatement, Text: "no prepared statement has this name"})
-		}
+	if failure := s.checkPrepared(st); failure != nil {
+		return s.abort(failure)
 	}
 	var answer proxy.Answer
 	for range maxTries {
--- a/internal/entry/votes.go
+++ b/internal/entry/votes.go
@@ -62,7 +62,7 @@
 			}
 			continue
 		}
-		if since := b.suspects[t.record.Primary]; since != 0 && now.Sub(since) > suspectTime {
+		if b.unreachableLocked(now, t.record.Primary) {
 			primaries = append(primaries, t.record.Primary)
 		}
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -146,6 +146,14 @@
 	return true
 }
 
+// learnTenure notes a version of a group's record that did not come from the
+// watch, and uses it at once.
+func (h *Host) learnTenure(id proxy.GroupID, r succession.Record, version proxy.Version) {
+	if h.applyTenure(id, r, version) {
+		h.reconfigure()
+	}
+}
+
 func (h *Host) runInstances(ctx context.Context) {
 	f := h.newFollower(h.Decode.InstanceKind, instanceWait)
 	f.replace = h.replaceInstances
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -67,7 +66,7 @@
 	s := entry.Settings{
 		Host: proxy.HostID(name), Zone: proxy.Zone(zone), Listen: addresses[0], Ready: addresses[1],
 		Peer: netip.MustParseAddrPort(addresses[2]), Store: w.StoreAddress, Orders: w.OrdersAddress,
-		Withdrawal: 5 * time.Second, Apply: 3 * time.Second, Drain: 7 * time.Second, Grace: 3 * time.Second,
+		Withdrawal: 5 * time.Second, Drain: 7 * time.Second, Grace: 3 * time.Second,
 	}
 	is.NoErr(s.Validate())
 	store, closeStore := platform.NewStore(s.Store)
@@ -115,51 +114,31 @@
 	return addresses
 }
 
-// client is a client of the line protocol.
-type client struct {
-	conn net.Conn
-	in   *bufio.Reader
-	next int
-}
+// client is a client of the line protocol whose lost connections show in its
+// answers.
+type client struct{ *deployment.Client }
 
 func dial(host entry.Settings, database, key string) (*client, string) {
-	conn, err := net.Dial("tcp4", host.Listen)
-	if err != nil {
-		return nil, "no connection"
-	}
-	c := &client{conn: conn, in: bufio.NewReader(conn)}
-	_, _ = fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
-	line, err := c.in.ReadString('\n')
+	c, hello, err := deployment.Dial(host.Listen, database, key)
 	if err != nil {
-		return nil, "cut"
+		return nil, err.Error()
 	}
-	return c, strings.TrimSpace(line)
+	return &client{c}, hello
 }
 
 // query returns the lines of the answer, joined by a bar.
-func (c *client) query(text string) string {
-	c.next++
-	return c.queryAs(fmt.Sprintf("r%d", c.next), text)
-}
+func (c *client) query(text string) string { return answerOr(c.Query(text)) }
+
+func (c *client) queryAs(id, text string) string { return answerOr(c.QueryAs(id, text)) }
 
-func (c *client) queryAs(id, text string) string {
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+func answerOr(answer string, err error) string {
+	if err != nil {
 		return "cut"
 	}
-	var lines []string
-	for {
-		line, err := c.in.ReadString('\n')
-		if err != nil {
-			return "cut"
-		}
-		lines = append(lines, strings.TrimSpace(line))
-		if strings.HasPrefix(line, "READY") {
-			return strings.Join(lines, "|")
-		}
-	}
+	return answer
 }
 
-func (c *client) close() { _ = c.conn.Close() }
+func (c *client) close() { c.Close() }
 
 // await repeats a query in new sessions until it succeeds.
 func (w *whole) await(host entry.Settings, database, text string) {
@@ -425,7 +404,7 @@
 	c.query("BEGIN")
 	is.True(strings.HasPrefix(c.query("WRITE s one"), "COMPLETE i-"))
 	w.stops[0]()
-	_, err := idle.in.ReadString('\n')
+	_, err := idle.Read()
 	is.True(err != nil) // the idle session is closed
 	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
 	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -57,11 +57,10 @@
 	if err != nil {
 		return err
 	}
-	store, cleanUp, err := s.store()
+	store, err := s.store()
 	if err != nil {
 		return err
 	}
-	defer cleanUp()
 	accepted, err := s.submit(store, c, text)
 	if err != nil {
 		return err
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -96,11 +96,10 @@
 
 // inForce returns the document in force in a stage, nil where there is none.
 func (s *session) inForce(id proxy.EnvironmentID, stage proxy.Stage) (*proxy.Document, proxy.Revision, error) {
-	store, cleanUp, err := s.store()
+	store, err := s.store()
 	if err != nil {
 		return nil, 0, err
 	}
-	defer cleanUp()
 	envelope, _, err := environment.Load(s.ctx, store, id, stage)
 	if err != nil || envelope == nil {
 		return nil, 0, err
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -70,6 +70,8 @@
 	*Client
 	ctx     context.Context
 	options *options
+	// cleanUp closes the store, once a command has opened it.
+	cleanUp func()
 }
 
 // executor is a command with its parsed options.
@@ -90,7 +92,8 @@
 
 // Run runs the command that args name and returns the exit code.
 func (c *Client) Run(ctx context.Context, args []string) int {
-	s := &session{Client: c, ctx: ctx, options: &options{}}
+	s := &session{Client: c, ctx: ctx, options: &options{}, cleanUp: func() {}}
+	defer func() { s.cleanUp() }()
 	s.options.Promote.stage = proxy.Production
 	s.options.Try.stage = proxy.Trial
 	parser := flags.NewNamedParser("auburnyoke", flags.HelpFlag|flags.PassDoubleDash)
@@ -138,16 +141,17 @@
 	return ExitFailed
 }
 
-// store connects to the platform.
-func (s *session) store() (proxy.Store, func(), error) {
+// store connects to the platform until the end of the command.
+func (s *session) store() (proxy.Store, error) {
 	if s.options.Platform == "" {
-		return nil, nil, &usageError{"no platform: set --platform or AUBURNYOKE_PLATFORM"}
+		return nil, &usageError{"no platform: set --platform or AUBURNYOKE_PLATFORM"}
 	}
 	store, cleanUp, err := s.Open(s.options.Platform)
 	if err != nil {
-		return nil, nil, fmt.Errorf("connect to the platform: %w", err)
+		return nil, fmt.Errorf("connect to the platform: %w", err)
 	}
-	return store, cleanUp, nil
+	s.cleanUp = cleanUp
+	return store, nil
 }
 
 // stageOption chooses a stage.
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"strings"
 
@@ -59,7 +58,7 @@
 		return nil, fmt.Errorf("open log: %w", err)
 	}
 	defer func() { _ = file.Close() }()
-	lines, err := story.Read(io.Reader(file))
+	lines, err := story.Read(file)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -36,11 +36,10 @@
 	if err != nil {
 		return err
 	}
-	store, cleanUp, err := s.store()
+	store, err := s.store()
 	if err != nil {
 		return err
 	}
-	defer cleanUp()
 	e, _, err := environment.Load(s.ctx, store, id, proxy.Stage(c.Stage))
 	if err != nil {
 		return err
@@ -105,11 +104,10 @@
 	if c.Limit < 1 {
 		return &usageError{fmt.Sprintf("--limit %d: want 1 or more", c.Limit)}
 	}
-	store, cleanUp, err := s.store()
+	store, err := s.store()
 	if err != nil {
 		return err
 	}
-	defer cleanUp()
 	trail, err := environment.ReadTrail(s.ctx, store, id, proxy.Stage(c.Stage))
 	if err != nil {
 		return err
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -33,12 +33,11 @@
 
 // State is what a host tells others of itself.
 type State struct {
-	Host        proxy.HostID      `cbor:"1,keyasint"`
-	Incarnation proxy.Incarnation `cbor:"2,keyasint"`
+	Host proxy.HostID `cbor:"1,keyasint"`
 	// Accepted are the replacements whose old primaries it no longer uses.
-	Accepted []Acceptance `cbor:"3,keyasint,omitempty"`
+	Accepted []Acceptance `cbor:"2,keyasint,omitempty"`
 	// Suspects are primaries that it cannot reach.
-	Suspects []proxy.InstanceID `cbor:"4,keyasint,omitempty"`
+	Suspects []proxy.InstanceID `cbor:"3,keyasint,omitempty"`
 }
 
 // Acceptance names a version of a group's record.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -41,7 +41,7 @@
 	h.Lender = &peering.Lender{
 		Zone: "gondar", Log: zerolog.Nop(), Clock: stopped{}, Random: rand.Uint64,
 		Allowances: &allowance.Table{Self: id},
-		State:      func() peering.State { return peering.State{Host: id, Incarnation: 7} },
+		State:      func() peering.State { return peering.State{Host: id} },
 		Learn:      func(n peering.Notice) { h.notices <- n },
 	}
 	stop, err := h.Listen(address)
--- a/pkg/proxy/directory/directory.go
+++ b/pkg/proxy/directory/directory.go
@@ -26,16 +26,6 @@
 	OwnWrites
 )
 
-var consistencyNames = [...]string{"", "strict", "bounded", "own-writes"}
-
-// String returns the name that appears in logs.
-func (c Consistency) String() string {
-	if int(c) < len(consistencyNames) {
-		return consistencyNames[c]
-	}
-	return fmt.Sprintf("consistency-%d", uint8(c))
-}
-
 // Route declares how statements to one database are served.
 type Route struct {
 	ID          proxy.RouteID
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -85,8 +85,6 @@
 	used    proxy.Instant
 	started proxy.Instant
 	running bool
-	// unusable connections are closed when they are returned.
-	unusable bool
 }
 
 // Grant lends a connection. The borrower closes Evicted and, if the
@@ -204,9 +202,6 @@
 }
 
 func (t *Table) regroup() {
-	if t.groups == nil {
-		t.groups = make(map[proxy.GroupID]*group)
-	}
 	for _, g := range t.groups {
 		g.instances = g.instances[:0]
 	}
@@ -244,7 +239,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.stop(now)
-	if c.at.gone || c.unusable {
+	if c.at.gone {
 		c.at.open--
 		t.serve(now, c.Group)
 		return []proxy.Connection{c.Link}
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,7 +11,6 @@
 // Waiter is an operation that waits for a connection.
 type Waiter struct {
 	want    Want
-	arrived proxy.Instant
 	granted chan Grant
 }
 
@@ -27,7 +27,7 @@
 	if grant, ok := t.place(now, g, &want); ok {
 		return grant, nil, nil
 	}
-	w := &Waiter{want: want, arrived: now, granted: make(chan Grant, 1)}
+	w := &Waiter{want: want, granted: make(chan Grant, 1)}
 	if wait := t.expectedWait(now, g, w); now.Add(wait) > want.Expires {
 		return Grant{}, nil, &proxy.Failure{Code: proxy.Busy, Text: "expected wait is longer than the time left", RetryAfter: wait}
 	}
@@ -58,7 +58,7 @@
 	}
 	ahead := 1
 	for _, other := range g.waiters {
-		if !g.precedes(now, w, other) && other.want.Primary == w.want.Primary {
+		if g.compare(now, other, w) <= 0 && other.want.Primary == w.want.Primary {
 			ahead++
 		}
 	}
@@ -75,18 +75,19 @@
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
-// precedes orders waiting operations: those that can still be answered in time,
+// compare orders waiting operations: those that can still be answered in time,
 // if they are sent at now and take as long as usual, then by priority, then by
 // the instant at which they are due. An operation that will be late gains little
 // from going first, and costs the next one its time.
-func (g *group) precedes(now proxy.Instant, a, b *Waiter) bool {
-	if lateA, lateB := now.Add(g.usual(a)) > a.want.Due, now.Add(g.usual(b)) > b.want.Due; lateA != lateB {
-		return lateB
-	}
-	if a.want.Priority != b.want.Priority {
-		return a.want.Priority < b.want.Priority
-	}
-	return a.want.Due < b.want.Due
+func (g *group) compare(now proxy.Instant, a, b *Waiter) int {
+	lateA, lateB := now.Add(g.usual(a)) > a.want.Due, now.Add(g.usual(b)) > b.want.Due
+	switch {
+	case lateB && !lateA:
+		return -1
+	case lateA && !lateB:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.want.Priority, b.want.Priority), cmp.Compare(a.want.Due, b.want.Due))
 }
 
 // usual returns how long a statement of the operation usually takes on the
@@ -110,15 +111,7 @@
 	if len(g.waiters) == 0 {
 		return
 	}
-	slices.SortStableFunc(g.waiters, func(a, b *Waiter) int {
-		if g.precedes(now, a, b) {
-			return -1
-		}
-		if g.precedes(now, b, a) {
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(g.waiters, func(a, b *Waiter) int { return g.compare(now, a, b) })
 	g.waiters = slices.DeleteFunc(g.waiters, func(w *Waiter) bool {
 		grant, ok := t.place(now, g, &w.want)
 		if ok {
