Answer statements that have arrived when a host stops

Cause: the stop of a host closed the connections of sessions that were between operations.

The stop now ends the session's wait, and the session closes its connection itself once a last look has found nothing.

Ruled out: a lost answer (the statement reached no instance) and the end of the grace time (252 ms after the signal).

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -127,7 +127,7 @@
 	h.incarnation = incarnation
 	h.seed = maphash.MakeSeed()
 	h.beliefs = newBeliefs()
-	h.open.sessions = make(map[*session]net.Conn)
+	h.open.sessions = make(map[*session]struct{})
 	h.table = &dispatch.Table{Zone: h.Settings.Zone}
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandOver: joinTime}
 	h.lender = &peering.Lender{
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,9 +34,9 @@
 	trace trace
 
 	mu sync.Mutex
-	// serving reports that a statement is being answered.
-	serving bool
-	closed  bool
+	// serving reports that a statement is being answered, woken that a stop
+	// has ended the wait for the next one.
+	serving, woken bool
 }
 
 // trace is what decided a statement.
@@ -81,13 +83,13 @@
 // sessionSet holds the open sessions, for a graceful stop.
 type sessionSet struct {
 	mu       sync.Mutex
-	sessions map[*session]net.Conn
+	sessions map[*session]struct{}
 }
 
-func (s *sessionSet) add(member *session, conn net.Conn) {
+func (s *sessionSet) add(member *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sessions[member] = conn
+	s.sessions[member] = struct{}{}
 }
 
 func (s *sessionSet) remove(member *session) {
@@ -96,14 +98,10 @@
 	delete(s.sessions, member)
 }
 
-func (s *sessionSet) all() map[*session]net.Conn {
+func (s *sessionSet) all() []*session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make(map[*session]net.Conn, len(s.sessions))
-	for member, conn := range s.sessions {
-		all[member] = conn
-	}
-	return all
+	return slices.Collect(maps.Keys(s.sessions))
 }
 
 // serveClient serves one client connection.
@@ -131,7 +129,7 @@
 		host: h, id: h.sessions.Add(1), caller: client, database: database, key: key,
 		values: make(map[string]string), prepared: make(map[string]proxy.Statement),
 	}
-	h.open.add(s, conn)
+	h.open.add(s)
 	defer h.open.remove(s)
 	defer s.release()
 	s.run()
@@ -166,9 +164,17 @@
 // run answers statements until the session ends.
 func (s *session) run() {
 	for {
-		statement, err := s.caller.Next(s.patience())
+		leaving := s.transaction == nil && s.host.stopping.Load()
+		patience := s.patience()
+		if leaving {
+			patience = lastLook
+		}
+		statement, err := s.caller.Next(patience)
 		arrived := s.host.Clock.Now()
 		if errors.Is(err, proxy.ErrIdle) {
+			if leaving {
+				return
+			}
 			s.expire()
 			continue
 		}
@@ -176,9 +182,7 @@
 		if err != nil && !errors.As(err, &failure) {
 			return
 		}
-		if !s.begin() {
-			return
-		}
+		s.begin()
 		s.awaitOpening()
 		s.trace = trace{}
 		var answer proxy.Answer
@@ -196,12 +200,11 @@
 	}
 }
 
-// begin marks the session as busy; it returns false once the session is closed.
-func (s *session) begin() bool {
+// begin marks the session as busy.
+func (s *session) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.serving = true
-	return !s.closed
+	s.serving, s.woken = true, false
 }
 
 // finish marks the session as waiting and reports whether it must end.
@@ -212,10 +215,7 @@
 	if answer.Failure != nil && answer.Failure.Code == proxy.TooLarge {
 		return true
 	}
-	if s.transaction == nil && s.host.stopping.Load() && !s.caller.Buffered() {
-		s.closed = true
-	}
-	return s.closed
+	return s.transaction == nil && s.host.stopping.Load() && !s.caller.Buffered()
 }
 
 // patience returns how long the session waits for its next statement, zero for
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -16,6 +16,9 @@
 	// closePause spreads the closing of idle sessions, so that their clients do
 	// not all return at the same moment.
 	closePause = 20 * time.Millisecond
+	// lastLook is how long a session of a stopping host waits for a statement that
+	// is on its way: several round trips to a client.
+	lastLook = 50 * time.Millisecond
 )
 
 // stop ends the host gracefully: it reports itself not ready, closes sessions
@@ -35,8 +38,8 @@
 		if closed && len(open) == 0 {
 			break
 		}
-		for s, conn := range open {
-			if s.closeIdle(conn) {
+		for _, s := range open {
+			if s.interrupt() {
 				time.Sleep(closePause)
 			}
 		}
@@ -46,15 +49,15 @@
 	h.Log.Info().Int("sessions", len(h.open.all())).Dur("took", h.Clock.Now().Sub(start)).Msg("host stopped")
 }
 
-// closeIdle closes a session that waits for its next operation and reports
-// whether it did.
-func (s *session) closeIdle(conn net.Conn) bool {
+// interrupt ends the wait of a session that is between operations and reports
+// whether it did. The session itself closes the connection once it has looked for
+// a statement that has arrived meanwhile, so that none is read and not answered.
+func (s *session) interrupt() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.serving || s.transaction != nil {
+	if s.woken || s.serving || s.transaction != nil {
 		return false
 	}
-	s.closed = true
-	_ = conn.Close()
-	return true
+	s.woken = s.caller.Interrupt()
+	return s.woken
 }
--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -1,11 +1,13 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,6 +39,8 @@
 	t     *testing.T
 	hosts []entry.Settings
 	stops []func()
+	// wrap changes the connections that hosts accept; nil leaves them.
+	wrap func(net.Conn) net.Conn
 }
 
 func start(t *testing.T, hosts int) *whole {
@@ -74,7 +78,12 @@
 	host := &entry.Host{
 		Settings: s, Log: zerolog.Nop(), Clock: entry.BootClock{}, Store: store, Promoter: orders,
 		Dialer: platform.NewDialer(), Decode: platform.Decoders(),
-		Client:  func(conn net.Conn) entry.Client { return platform.NewCaller(conn) },
+		Client: func(conn net.Conn) entry.Client {
+			if w.wrap != nil {
+				conn = w.wrap(conn)
+			}
+			return platform.NewCaller(conn)
+		},
 		Metrics: entry.NewMetrics(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -410,6 +419,81 @@
 	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
 }
 
+// stalledConn is a connection of a host that gets no processor time: once
+// stalled, reads wait until the host changes the connection.
+type stalledConn struct {
+	net.Conn
+	stalled atomic.Bool
+	once    sync.Once
+	resumed chan struct{}
+}
+
+func (c *stalledConn) Read(b []byte) (int, error) {
+	if c.stalled.Load() {
+		<-c.resumed
+	}
+	return c.Conn.Read(b)
+}
+
+func (c *stalledConn) resume() {
+	if c.stalled.Load() {
+		c.once.Do(func() { close(c.resumed) })
+	}
+}
+
+func (c *stalledConn) SetReadDeadline(at time.Time) error {
+	err := c.Conn.SetReadDeadline(at)
+	c.resume()
+	return err
+}
+
+func (c *stalledConn) Close() error {
+	err := c.Conn.Close()
+	c.resume()
+	return err
+}
+
+// Guards against a stop that closes a session whose next statement has arrived
+// and is not read yet, because the host had no processor time.
+func TestStopAnswersStatementsThatHaveArrived(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	var accepted atomic.Pointer[stalledConn]
+	w.wrap = func(conn net.Conn) net.Conn {
+		c := &stalledConn{Conn: conn, resumed: make(chan struct{})}
+		accepted.Store(c)
+		return c
+	}
+	w.startHost("host-late", "gondar")
+	host := w.hosts[1]
+	w.await(host, "ledger-strict", "READ warm")
+	conn, err := net.Dial("tcp4", host.Listen)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	exchange := func(message string) string {
+		_, err := conn.Write([]byte(message))
+		is.NoErr(err)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return "cut"
+			}
+			if strings.HasPrefix(line, "READY") {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	is.Equal(exchange("STARTUP ledger-strict key-clerks\r\n"), "READY I -")
+	accepted.Load().stalled.Store(true) // the read of the next statement is under way
+	exchange("QUERY r1 SET a b\r\n")
+	_, err = conn.Write([]byte("QUERY r2 SET a c\r\n"))
+	is.NoErr(err)
+	w.stops[1]()
+	is.Equal(exchange(""), "READY I -")
+}
+
 // Guards against reads that fail because one instance fails part of them though
 // another one could answer, and against a refusal that claims a read has not run.
 func TestFailedReadRunsElsewhere(t *testing.T) {
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -203,6 +203,9 @@
 	// Next returns the next statement. It gives up after timeout with
 	// ErrIdle if no byte has arrived; zero waits without limit.
 	Next(timeout time.Duration) (Statement, error)
+	// Interrupt makes a call of Next that waits for the first byte return ErrIdle
+	// and reports whether there was one. It is safe for concurrent use.
+	Interrupt() bool
 	// Reply sends the answer to the last statement.
 	Reply(Answer) error
 	// Buffered reports whether bytes of a further statement have arrived.
