Add a fault soak of separate processes

A ledger of what callers and instances saw is checked for broken promises: STALE, TWICE, REFUSED, ONE, MIXED, UNASKED, PINNED, CONFIG, QUOTA, LOST and RECOVER.

The emulated deployment now lets a replaced primary go on for a second, rolls back what its successor lacks, and restarts instances, so that these promises can be broken at all.

--- a/cmd/emulated-deployment/main.go
+++ b/cmd/emulated-deployment/main.go
@@ -53,8 +53,9 @@
 		return fmt.Errorf("write the configuration: %w", err)
 	}
 	for n := range o.Hosts {
-		path := filepath.Join(o.Directory, fmt.Sprintf("host-%d.toml", n+1))
-		text := settings(d, n+1, zones[n%len(zones)], o.Port+10*n)
+		name := fmt.Sprintf("host-%d", n+1)
+		path := filepath.Join(o.Directory, name+".toml")
+		text := deployment.Settings(name, zones[n%len(zones)], "127.0.0.1", o.Port+10*n, d.StoreAddress, d.OrdersAddress)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return fmt.Errorf("write settings: %w", err)
 		}
@@ -93,22 +94,3 @@
 		}
 	}
 }
-
-func settings(d *deployment.Deployment, number int, zone string, port int) string {
-	return fmt.Sprintf(`node_name = "host-%d"
-zone = %q
-ip = "127.0.0.1"
-port_range = [%d,%d]
-[listen]
-frontend = "127.0.0.1:%d"
-ready = "127.0.0.1:%d"
-[bounds]
-revoke_ms = 5000
-drain_ms = 7000
-grace_s = 6
-[platform]
-address = %q
-[cloud_api]
-address = %q
-`, number, zone, port+2, port+2, port, port+1, d.StoreAddress, d.OrdersAddress)
-}
--- a/internal/emulator/deployment/client.go
+++ b/internal/emulator/deployment/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 )
 
 // Client is a client of the line protocol, for tests and checks.
@@ -14,10 +15,13 @@
 	next int
 }
 
+// dialTimeout limits the opening of a connection.
+const dialTimeout = 2 * time.Second
+
 // Dial connects to a host and sends the startup message. It returns the answer
 // beside the client, which is nil where there is none.
 func Dial(address, database, key string) (*Client, string, error) {
-	conn, err := net.Dial("tcp4", address)
+	conn, err := net.DialTimeout("tcp4", address, dialTimeout)
 	if err != nil {
 		return nil, "", fmt.Errorf("connect: %w", err)
 	}
@@ -68,5 +72,13 @@
 	}
 }
 
+// Limit makes everything fail that has not ended by an instant.
+func (c *Client) Limit(end time.Time) error {
+	if err := c.conn.SetDeadline(end); err != nil {
+		return fmt.Errorf("limit the connection: %w", err)
+	}
+	return nil
+}
+
 // Close ends the connection.
 func (c *Client) Close() { _ = c.conn.Close() }
--- a/internal/emulator/deployment/deployment.go
+++ b/internal/emulator/deployment/deployment.go
@@ -71,7 +71,7 @@
 		}
 		i := &Instance{
 			ID: fmt.Sprintf("i-%d%d", number, n), Zone: zones[n%len(zones)], Address: listener.Addr().String(),
-			group: g, primary: n == 0, term: 1, closers: make(map[*session]func()), ran: make(map[string]int),
+			group: g, primary: n == 0, term: 1, born: time.Now(), closers: make(map[*session]func()), ran: make(map[string]int),
 		}
 		g.instances = append(g.instances, i)
 		go acceptSessions(listener, i)
@@ -124,19 +124,29 @@
 	Burst float64  `json:"burst"`
 }
 
+// Staleness is the age that the routes of Configure accept.
+const Staleness = 1500 * time.Millisecond
+
 // Configure writes a configuration with three routes for each group, named
-// GROUP-strict, GROUP-bounded and GROUP-own, as the operator does.
-func (d *Deployment) Configure(version int, tenants []Tenant) error {
+// GROUP-strict, GROUP-bounded and GROUP-own, as the operator does. Extra databases
+// are routes to the first group.
+func (d *Deployment) Configure(version int, tenants []Tenant, extra ...string) error {
 	var routes, services []map[string]any
+	route := func(name, kind string, g *Group) {
+		routes = append(routes, map[string]any{
+			"name": name, "host": name, "path_prefix": "/", "kind": kind,
+			"timeout_ms": 2000, "latency_goal_ms": 250, "priority": 1, "service": g.Name,
+			"max_staleness_ms": Staleness.Milliseconds(), "public": false,
+		})
+	}
+	for _, name := range extra {
+		route(name, "primary", d.Groups[0])
+	}
 	for _, g := range d.Groups {
 		for suffix, kind := range map[string]string{
 			"strict": "primary", "bounded": "bounded_staleness", "own": "read_your_writes",
 		} {
-			routes = append(routes, map[string]any{
-				"name": g.Name + "-" + suffix, "host": g.Name + "-" + suffix, "path_prefix": "/", "kind": kind,
-				"timeout_ms": 2000, "latency_goal_ms": 250, "priority": 1, "service": g.Name,
-				"max_staleness_ms": 1500, "public": false,
-			})
+			route(g.Name+"-"+suffix, kind, g)
 		}
 		services = append(services, map[string]any{"name": g.Name, "max_conns": g.Connections, "sync_replicas": 0})
 	}
@@ -145,3 +155,24 @@
 		"limits": map[string]any{"tx_idle_ms": 3000},
 	})
 }
+
+// Settings is the settings file of a host: its name, availability zone, address
+// and the platform's addresses as it reaches them.
+func Settings(name, zone, ip string, firstPort int, store, orders string) string {
+	return fmt.Sprintf(`node_name = %q
+zone = %q
+ip = %q
+port_range = [%d,%d]
+[listen]
+frontend = "%s:%d"
+ready = "%s:%d"
+[bounds]
+revoke_ms = 5000
+drain_ms = 7000
+grace_s = 6
+[platform]
+address = %q
+[cloud_api]
+address = %q
+`, name, zone, ip, firstPort+2, firstPort+2, ip, firstPort, ip, firstPort+1, store, orders)
+}
--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -22,17 +22,21 @@
 	lost      int
 	store     *Store
 	instances []*Instance
+	observer  Observer
+	// committed numbers the commits, signed the signatures.
+	committed, signed int
 }
 
 // commit is an entry of a log: the writes of one transaction.
 type commit struct {
+	serial int
 	term   uint64
 	writes []write
 	// visible is when a replica applies it.
 	visible time.Time
 }
 
-type write struct{ item, data string }
+type write struct{ request, item, data string }
 
 // Instance is one instance of a group. Its fields are guarded by the group.
 type Instance struct {
@@ -47,6 +51,7 @@
 	connections int
 	seq         int
 	draining    bool
+	born        time.Time
 	// stopped instances accept nothing and close their connections.
 	stopped bool
 	closers map[*session]func()
@@ -89,7 +94,8 @@
 // commit appends a transaction to the primary's log and sends it to the replicas.
 func (g *Group) commit(i *Instance, writes []write) {
 	now := time.Now()
-	c := commit{term: i.term, writes: writes, visible: now.Add(g.Lag)}
+	g.committed++
+	c := commit{serial: g.committed, term: i.term, writes: writes, visible: now.Add(g.Lag)}
 	i.log = append(i.log, c)
 	for _, other := range g.instances {
 		if other != i && !other.primary && !other.stopped && other.term <= i.term {
@@ -119,18 +125,50 @@
 	}
 	chosen.primary, chosen.term = true, term+1
 	for _, i := range g.instances {
-		if i == chosen {
-			continue
+		switch {
+		case i == chosen || i.stopped:
+		case i.primary:
+			// The old primary learns of its successor later.
+			time.AfterFunc(demotionTime, func() { g.demote(i) })
+		default:
+			g.follow(i, chosen)
 		}
-		i.primary = false
-		// Replicas that were ahead are rolled back.
-		i.log = append([]commit(nil), chosen.log...)
-		g.register(i)
 	}
 	g.register(chosen)
 	return true
 }
 
+// demotionTime is how long a primary that has been replaced goes on.
+const demotionTime = time.Second
+
+// demote makes a primary that has been replaced a replica.
+func (g *Group) demote(i *Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leader := g.leader(); leader != nil && leader != i && !i.stopped {
+		g.follow(i, leader)
+	}
+}
+
+// follow makes an instance a replica of a primary; commits that the primary lacks
+// are rolled back. The caller holds the lock.
+func (g *Group) follow(i, primary *Instance) {
+	kept := make(map[int]bool, len(primary.log))
+	for _, c := range primary.log {
+		kept[c.serial] = true
+	}
+	for _, c := range i.log {
+		for _, w := range c.writes {
+			if !kept[c.serial] && g.observer != nil {
+				g.observer.Discarded(w.item, w.data)
+			}
+		}
+	}
+	i.primary, i.term = false, primary.term
+	i.log = append([]commit(nil), primary.log...)
+	g.register(i)
+}
+
 // register writes an instance's entry.
 func (g *Group) register(i *Instance) {
 	if i.stopped {
@@ -147,7 +185,7 @@
 	// Encoding a map of plain values cannot fail.
 	_ = g.store.Put("servers", i.ID, map[string]any{
 		"service": g.Name, "address": i.Address, "zone": i.Zone, "version": "v1", "capacity": 2,
-		"state": state, "warmup_left_ms": 0, "db_role": role, "seq": i.seq,
+		"state": state, "warmup_left_ms": 0, "db_role": role, "seq": i.seq, "born": i.born.UnixMilli(),
 	})
 }
 
@@ -155,17 +193,77 @@
 func (g *Group) Primary() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	leader := ""
-	var term uint64
+	if leader := g.leader(); leader != nil {
+		return leader.ID
+	}
+	return ""
+}
+
+// leader returns the running primary of the newest term, nil where there is none.
+// The caller holds the lock.
+func (g *Group) leader() *Instance {
+	var leader *Instance
 	for _, i := range g.instances {
-		if i.primary && !i.stopped && i.term >= term {
-			leader, term = i.ID, i.term
+		if i.primary && !i.stopped && (leader == nil || i.term >= leader.term) {
+			leader = i
 		}
 	}
 	return leader
 }
 
-// Crash stops an instance for good; its entry goes with it.
+// Instances returns the ids of the group's instances.
+func (g *Group) Instances() []string {
+	var ids []string
+	for _, i := range g.instances {
+		ids = append(ids, i.ID)
+	}
+	return ids
+}
+
+// Restart starts a crashed instance, or one that has left, with its log. It comes
+// back as a replica if another instance was promoted meanwhile.
+func (g *Group) Restart(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID != id || !i.stopped {
+			continue
+		}
+		leader := g.leader()
+		i.stopped, i.draining, i.born = false, false, time.Now()
+		if leader != nil && (leader.term > i.term || !i.primary) {
+			g.follow(i, leader)
+		}
+		g.register(i)
+	}
+}
+
+// Reroute changes the address under which an instance is registered.
+func (g *Group) Reroute(id string, via func(address string) (string, error)) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID != id {
+			continue
+		}
+		address, err := via(i.Address)
+		if err != nil {
+			return err
+		}
+		i.Address = address
+		g.register(i)
+	}
+	return nil
+}
+
+// SetLag sets how long replicas take to apply further commits.
+func (g *Group) SetLag(lag time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Lag = lag
+}
+
+// Crash stops an instance; its entry goes with it.
 func (g *Group) Crash(id string) {
 	g.mu.Lock()
 	var closers []func()
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -12,9 +12,10 @@
 // session is one connection to an instance.
 type session struct {
 	at       *Instance
+	tenant   string
 	in       *bufio.Reader
 	out      net.Conn
-	prepared map[string]string
+	prepared map[string]prepared
 	open     bool
 	readOnly bool
 	failed   bool
@@ -24,7 +25,7 @@
 // serve answers one connection.
 func (i *Instance) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	s := &session{at: i, in: bufio.NewReader(conn), out: conn, prepared: make(map[string]string)}
+	s := &session{at: i, in: bufio.NewReader(conn), out: conn, prepared: make(map[string]prepared)}
 	line, err := s.in.ReadString('\n')
 	if err != nil {
 		return
@@ -34,6 +35,7 @@
 		_, _ = fmt.Fprint(conn, "ERROR MALFORMED startup\r\n")
 		return
 	}
+	s.tenant = fields[2]
 	g := i.group
 	g.mu.Lock()
 	refused := ""
@@ -138,10 +140,13 @@
 	case "SET", "CLOSE":
 		return done
 	case "RESET":
-		s.prepared = make(map[string]string)
+		s.prepared = make(map[string]prepared)
 		return done
 	case "PARSE":
-		s.prepared[fields[1]] = fields[2]
+		if len(fields) < 4 {
+			return s.refuse("MALFORMED")
+		}
+		s.prepared[fields[1]] = prepared{fields[2], fields[3]}
 		return done
 	case "STATUS":
 		return s.status()
@@ -152,16 +157,19 @@
 		}
 		return s.status()
 	case "EXECUTE":
-		access, ok := s.prepared[fields[1]]
+		definition, ok := s.prepared[fields[1]]
 		if !ok {
 			return s.refuse("NOSTMT")
 		}
-		return s.access(id, access, fields[1:])
+		return s.access(id, definition.access, definition.shape, fields[1:])
 	default:
-		return s.access(id, fields[0], fields)
+		return s.access(id, fields[0], "", fields)
 	}
 }
 
+// prepared is a prepared statement.
+type prepared struct{ access, shape string }
+
 // holds reports whether the log has a position.
 func (s *session) holds(position string) bool {
 	term, number, _ := strings.Cut(position, ".")
@@ -172,7 +180,7 @@
 }
 
 // access runs a read or a write of the item that fields[1] names.
-func (s *session) access(id, access string, fields []string) string {
+func (s *session) access(id, access, shape string, fields []string) string {
 	if len(fields) < 2 {
 		return s.refuse("MALFORMED")
 	}
@@ -185,19 +193,22 @@
 				value = w.data
 			}
 		}
-		return fmt.Sprintf("DATAROW %s\r\nCOMPLETE %s\r\n", value, s.signature())
+		signature := s.ran(Run{Request: id, Verb: access, Shape: shape, Row: value})
+		return fmt.Sprintf("DATAROW %s\r\nCOMPLETE %s\r\n", value, signature)
 	case "WRITE":
 		if !s.at.primary || s.readOnly && s.open {
 			return s.refuse("READONLY")
 		}
 		s.at.ran[id]++
-		w := write{item: fields[1], data: strings.Join(fields[2:], " ")}
+		w := write{request: id, item: fields[1], data: strings.Join(fields[2:], " ")}
+		run := Run{Request: id, Verb: access, Shape: shape}
 		if s.open {
 			s.writes = append(s.writes, w)
 		} else {
 			s.at.group.commit(s.at, []write{w})
+			run.Committed = []string{id}
 		}
-		return fmt.Sprintf("COMPLETE %s\r\n", s.signature())
+		return fmt.Sprintf("COMPLETE %s\r\n", s.ran(run))
 	default:
 		return s.refuse("MALFORMED")
 	}
@@ -216,11 +227,28 @@
 		s.at.group.commit(s.at, writes)
 	}
 	s.at.ran[id]++
-	return fmt.Sprintf("COMPLETE %s\r\n", s.signature())
+	run := Run{Request: id, Verb: "COMMIT"}
+	if len(writes) > 0 {
+		run.Committed = []string{id}
+	}
+	for _, w := range writes {
+		run.Committed = append(run.Committed, w.request)
+	}
+	return fmt.Sprintf("COMPLETE %s\r\n", s.ran(run))
 }
 
-func (s *session) signature() string {
-	return s.at.ID + "." + s.at.positionText(time.Now())
+// ran tells the observer of a statement that has run and returns its signature.
+func (s *session) ran(run Run) string {
+	g := s.at.group
+	g.signed++
+	run.Signature = fmt.Sprintf("%s.%s.%d", s.at.ID, s.at.positionText(time.Now()), g.signed)
+	if g.observer != nil {
+		leader := g.leader()
+		run.At, run.Instance, run.Tenant, run.Transaction = time.Now(), s.at.ID, s.tenant, s.open || run.Verb == "COMMIT"
+		run.Superseded = leader != nil && leader.term > s.at.term
+		g.observer.Ran(run)
+	}
+	return run.Signature
 }
 
 func (s *session) status() string {
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,137 @@
+package soak_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
+	"github.com/auburnyoke/auburnyoke/internal/soak"
+)
+
+var start = time.Now()
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// write returns an acknowledged write and its run.
+func write(request, item string, value int, done time.Duration) (soak.Statement, deployment.Run) {
+	s := soak.Statement{
+		Request: request, Session: "s1", Database: "ledger-own", Key: "key", Verb: "WRITE", Item: item, Value: value,
+		Signature: "sig-" + request, Outcome: soak.Succeeded, Sent: at(done), Asked: at(done), Answered: at(done),
+	}
+	return s, deployment.Run{
+		At: at(done), Instance: "i-1", Tenant: "clerks", Request: request, Verb: "WRITE", Signature: s.Signature,
+		Committed: []string{request},
+	}
+}
+
+func read(request, database, session string, value int, asked time.Duration) (soak.Statement, deployment.Run) {
+	s := soak.Statement{
+		Request: request, Session: session, Database: database, Key: "key", Verb: "READ", Item: "a", Value: value,
+		Signature: "sig-" + request, Outcome: soak.Succeeded, Sent: at(asked), Asked: at(asked), Answered: at(asked),
+	}
+	return s, deployment.Run{At: at(asked), Instance: "i-1", Tenant: "clerks", Request: request, Verb: "READ", Signature: s.Signature}
+}
+
+// Guards against a soak that does not see a broken promise, or that reports one
+// where none is broken.
+func TestLedgerFindsBrokenPromises(t *testing.T) {
+	cases := map[string]struct {
+		record func(l *soak.Ledger)
+		want   string
+	}{
+		"all is well": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Record(read("r1", "ledger-strict", "s2", 1, time.Second))
+		}, ""},
+		"strict read misses a commit": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Record(read("r1", "ledger-strict", "s2", 0, time.Millisecond))
+		}, "STALE"},
+		"session misses its own commit": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Record(read("r1", "ledger-own", "s1", 0, time.Millisecond))
+		}, "STALE"},
+		"other session misses a recent commit": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Record(read("r1", "ledger-own", "s2", 0, time.Millisecond))
+		}, ""},
+		"bounded read misses an old commit": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Record(read("r1", "ledger-bounded", "s2", 0, deployment.Staleness+time.Millisecond))
+		}, "STALE"},
+		"promotion rolled the commit back": {func(l *soak.Ledger) {
+			l.Record(write("w1", "a", 1, 0))
+			l.Discarded("a", "1")
+			l.Record(read("r1", "ledger-strict", "s2", 0, time.Second))
+		}, ""},
+		"write takes effect twice": {func(l *soak.Ledger) {
+			s, run := write("w1", "a", 1, 0)
+			l.Record(s, run)
+			l.Ran(run)
+		}, "TWICE"},
+		"refused write takes effect": {func(l *soak.Ledger) {
+			s, run := write("w1", "a", 1, 0)
+			s.Outcome = soak.NotKept
+			l.Record(s, run)
+		}, "REFUSED"},
+		"replaced primary acknowledges": {func(l *soak.Ledger) {
+			s, run := write("w1", "a", 1, 0)
+			run.Superseded = true
+			l.Record(s, run)
+		}, "ONE"},
+		"answer of another run": {func(l *soak.Ledger) {
+			s, run := write("w1", "a", 1, 0)
+			s.Signature = "other"
+			l.Record(s, run)
+		}, "MIXED"},
+		"statement that nobody sent": {func(l *soak.Ledger) {
+			_, run := write("w1", "a", 1, 0)
+			l.Ran(run)
+		}, "UNASKED"},
+		"prepared statement of another session": {func(l *soak.Ledger) {
+			s, run := read("r1", "ledger-strict", "s1", 0, 0)
+			s.Shape, run.Shape = "q1", "q2"
+			l.Record(s, run)
+		}, "PINNED"},
+		"withdrawn key": {func(l *soak.Ledger) {
+			l.Withdraw("key", at(0))
+			l.Record(read("r1", "ledger-strict", "s1", 0, 5001*time.Millisecond))
+		}, "CONFIG"},
+		"key that is withdrawn now": {func(l *soak.Ledger) {
+			l.Withdraw("key", at(0))
+			l.Record(read("r1", "ledger-strict", "s1", 0, 4999*time.Millisecond))
+		}, ""},
+		"account above its rate": {func(l *soak.Ledger) {
+			l.Limit(deployment.Tenant{Name: "clerks", Rate: 1, Burst: 1})
+			for n := range 27 { // (1 x 5 + 1) x 1.1 + 20 = 26.6
+				s, run := read("r"+strings.Repeat("x", n), "ledger-strict", "s1", 0, time.Duration(n)*time.Millisecond)
+				l.Record(s, run)
+			}
+		}, "QUOTA"},
+		"account at its rate": {func(l *soak.Ledger) {
+			l.Limit(deployment.Tenant{Name: "clerks", Rate: 1, Burst: 1})
+			for n := range 26 {
+				s, run := read("r"+strings.Repeat("x", n), "ledger-strict", "s1", 0, time.Duration(n)*time.Millisecond)
+				l.Record(s, run)
+			}
+		}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := soak.NewLedger()
+			l.Limit(deployment.Tenant{Name: "clerks", Rate: 1000, Burst: 1000})
+			c.record(l)
+			found := l.Check()
+			if c.want == "" {
+				is.Equal(len(found), 0)
+				return
+			}
+			is.Equal(len(found), 1)
+			is.True(strings.HasPrefix(found[0], c.want+": "))
+		})
+	}
+}
