Let loans of allowance end, and keep the tokens of small accounts together

Hosts borrowed a token ahead after each operation and kept it until the account's next operation there, seconds later.

A loan now ends after 150 ms, the lender counts it against its part of the burst until then, and hosts borrow for operations that wait, or ahead where the demand is steady. A home has at least 10/s of a rate instead of 3/s. A home that has not answered within 20 ms is passed over and another one asked. Whom to ask moved from internal/peering to allowance.Borrower, which needs no network.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -131,9 +131,10 @@
 	h.table = &dispatch.Table{Zone: h.Settings.Zone}
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandOver: joinTime}
 	h.lender = &peering.Lender{
-		Zone: h.Settings.Zone, Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
-		State: h.state,
-		Learn: func(n peering.Notice) { h.learnTenure(n.Group, n.Record, n.Version) },
+		Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
+		Borrower: &allowance.Borrower{Table: h.allowances, Zone: h.Settings.Zone, Random: randv2.Uint64},
+		State:    h.state,
+		Learn:    func(n peering.Notice) { h.learnTenure(n.Group, n.Record, n.Version) },
 	}
 	h.mirrors = map[proxy.Kind]*mirror{
 		h.Decode.ConfigurationKind: newMirror(gatherConfiguration),
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -304,9 +304,9 @@
 	return op, s.host.allow(arrived, op.account)
 }
 
-// loanTime is how long an operation waits for borrowed allowance: two round
-// trips between availability zones, which is well within latency goals.
-const loanTime = 25 * time.Millisecond
+// loanWait is how long an operation waits for borrowed allowance: a home that does
+// not answer and one of another availability zone that does.
+const loanWait = 35 * time.Millisecond
 
 // allow takes a token of an account's rate, borrowing from other hosts where
 // this one has none.
@@ -314,7 +314,8 @@
 	if h.allowances.Admit(now, id) == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), loanTime)
+	defer h.allowances.Await(id)()
+	ctx, cancel := context.WithTimeout(context.Background(), loanWait)
 	defer cancel()
 	return h.lender.Await(ctx, func() *proxy.Failure { return h.allowances.Retry(h.Clock.Now(), id) })
 }
--- a/internal/peering/lender.go
+++ b/internal/peering/lender.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +24,6 @@
 	maxDatagram = 1200
 	// maxNeeds bounds the accounts in one datagram.
 	maxNeeds = 24
-	// requestTime is how long a request may be answered.
-	requestTime = 150 * time.Millisecond
 )
 
 // Peer is another host.
@@ -39,11 +36,11 @@
 // Lender makes and answers requests for loans and questions. Its exported fields
 // are set before Listen.
 type Lender struct {
-	Zone       proxy.Zone
 	Log        zerolog.Logger
 	Clock      proxy.Clock
 	Allowances *allowance.Table
-	// Random draws the numbers of requests.
+	Borrower   *allowance.Borrower
+	// Random draws the numbers of questions.
 	Random func() uint64
 	// State returns what the host tells others of itself.
 	State func() State
@@ -52,35 +49,14 @@
 
 	conn *net.UDPConn
 	mu   sync.Mutex
-	// peers are ordered: those of the host's own zone first.
-	peers []*peer
-	// pending holds the requests without an answer.
-	pending map[uint64]request
+	// addresses are those of the other hosts.
+	addresses map[proxy.HostID]netip.AddrPort
 	// asked receives the answers to questions, by request.
 	asked map[uint64]chan<- State
-	// credited is closed and replaced when tokens arrive.
-	credited chan struct{}
+	// answered is closed and replaced when an answer arrives.
+	answered chan struct{}
 }
 
-type peer struct {
-	Peer
-	// empty holds the accounts of which the peer had nothing to lend, until the
-	// instant at which it is worth asking again.
-	empty map[proxy.AccountID]proxy.Instant
-}
-
-type request struct {
-	to   *peer
-	sent proxy.Instant
-	// revision is that of the limits when the request was made.
-	revision proxy.Revision
-	// wanted are the tokens asked for, by account.
-	wanted map[proxy.AccountID]int
-}
-
-// emptyTime is how long a peer that had nothing to lend is not asked again.
-const emptyTime = 300 * time.Millisecond
-
 // Listen opens the socket and returns a function that closes it.
 func (l *Lender) Listen(address netip.AddrPort) (func(), error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
@@ -88,33 +64,23 @@
 		return nil, fmt.Errorf("listen for loans: %w", err)
 	}
 	l.conn = conn
-	l.pending = make(map[uint64]request)
 	l.asked = make(map[uint64]chan<- State)
-	l.credited = make(chan struct{})
+	l.answered = make(chan struct{})
 	return func() { _ = conn.Close() }, nil
 }
 
 // SetPeers replaces the other hosts.
 func (l *Lender) SetPeers(peers []Peer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := make(map[Peer]*peer, len(l.peers))
-	for _, p := range l.peers {
-		known[p.Peer] = p
-	}
-	l.peers = l.peers[:0]
-	for _, local := range []bool{true, false} {
-		for _, p := range peers {
-			if (p.Zone == l.Zone) != local {
-				continue
-			}
-			k := known[p]
-			if k == nil {
-				k = &peer{Peer: p, empty: make(map[proxy.AccountID]proxy.Instant)}
-			}
-			l.peers = append(l.peers, k)
-		}
+	addresses := make(map[proxy.HostID]netip.AddrPort, len(peers))
+	lenders := make([]allowance.Peer, 0, len(peers))
+	for _, p := range peers {
+		addresses[p.Host] = p.Address
+		lenders = append(lenders, allowance.Peer{Host: p.Host, Zone: p.Zone})
 	}
+	l.mu.Lock()
+	l.addresses = addresses
+	l.mu.Unlock()
+	l.Borrower.SetPeers(lenders)
 }
 
 // Run answers requests until the socket is closed.
@@ -178,117 +144,54 @@
 	}
 }
 
-// receive takes the loans of an answer, once and only as far as they were asked
-// for.
+// receive takes the loans of an answer and wakes the operations that wait.
 func (l *Lender) receive(m message) {
-	now := l.Clock.Now()
-	l.mu.Lock()
-	r, ok := l.pending[m.Request]
-	delete(l.pending, m.Request)
-	if !ok || now.Sub(r.sent) > requestTime {
-		l.mu.Unlock()
-		return
-	}
+	loans := make([]allowance.Loan, 0, len(m.Loans))
 	for _, lent := range m.Loans {
-		wanted, asked := r.wanted[lent.Account]
-		if !asked {
-			continue
-		}
-		delete(r.wanted, lent.Account)
-		l.Allowances.Credit(now, r.revision, lent.Account, min(lent.Tokens, wanted))
-		if lent.Left == 0 && lent.Tokens < wanted {
-			r.to.empty[lent.Account] = now.Add(emptyTime)
-		}
+		loans = append(loans, allowance.Loan{Account: lent.Account, Tokens: lent.Tokens, Left: lent.Left})
 	}
-	close(l.credited)
-	l.credited = make(chan struct{})
-	l.mu.Unlock()
-}
-
-// Borrow asks for what the host needs, each account of one peer, and reports
-// whether anything was asked for or is still on its way.
-func (l *Lender) Borrow() bool {
-	now := l.Clock.Now()
-	needs, revision := l.Allowances.Needs(now)
+	l.Borrower.Answer(l.Clock.Now(), m.Request, loans)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for number, r := range l.pending {
-		if now.Sub(r.sent) > requestTime {
-			delete(l.pending, number)
-		}
-	}
-	if len(needs) == 0 {
-		return len(l.pending) > 0
-	}
-	requests := make(map[*peer][]loan)
-	for _, need := range needs {
-		if l.requested(need.Account) {
-			continue
-		}
-		if p := l.lenderOf(now, need.Account); p != nil && len(requests[p]) < maxNeeds {
-			requests[p] = append(requests[p], loan{Account: need.Account, Tokens: need.Tokens})
-		}
-	}
-	for p, loans := range requests {
-		l.request(now, p, revision, loans)
-	}
-	return len(l.pending) > 0
-}
-
-func (l *Lender) request(now proxy.Instant, p *peer, revision proxy.Revision, loans []loan) {
-	number := l.Random()
-	r := request{to: p, sent: now, revision: revision, wanted: make(map[proxy.AccountID]int, len(loans))}
-	for _, wanted := range loans {
-		r.wanted[wanted.Account] = wanted.Tokens
-	}
-	l.pending[number] = r
-	l.send(message{Request: number, Revision: revision, Loans: loans}, p.Address)
-}
-
-// requested reports whether a request for an account is on its way.
-func (l *Lender) requested(id proxy.AccountID) bool {
-	for _, r := range l.pending {
-		if _, ok := r.wanted[id]; ok {
-			return true
-		}
-	}
-	return false
+	close(l.answered)
+	l.answered = make(chan struct{})
 }
 
-// lenderOf returns the peer to ask for an account, nil where all of its homes
-// have recently had nothing to lend. Homes take turns within a zone, so that
-// none is drained.
-func (l *Lender) lenderOf(now proxy.Instant, id proxy.AccountID) *peer {
-	homes := l.Allowances.Homes(id)
-	var found []*peer
-	for _, p := range l.peers {
-		if now < p.empty[id] || !slices.Contains(homes, p.Host) {
-			continue
+// Borrow asks for what the host needs and reports whether anything was asked for
+// or is still on its way.
+func (l *Lender) Borrow() bool {
+	requests, waiting := l.Borrower.Ask(l.Clock.Now())
+	for _, r := range requests {
+		m := message{Request: r.Number, Revision: r.Revision}
+		for _, need := range r.Needs {
+			m.Loans = append(m.Loans, loan{Account: need.Account, Tokens: need.Tokens})
 		}
-		if len(found) > 0 && p.Zone != found[0].Zone && found[0].Zone == l.Zone {
-			break
+		l.mu.Lock()
+		address := l.addresses[r.To]
+		l.mu.Unlock()
+		if address.IsValid() {
+			l.send(m, address)
 		}
-		found = append(found, p)
-	}
-	if len(found) == 0 {
-		return nil
 	}
-	return found[l.Random()%uint64(len(found))]
+	return waiting
 }
 
 // Await retries take until it succeeds, no loan can arrive any more, or ctx
 // ends.
 func (l *Lender) Await(ctx context.Context, take func() *proxy.Failure) *proxy.Failure {
+	again := time.NewTicker(allowance.AnswerTime + time.Millisecond)
+	defer again.Stop()
 	for {
 		l.mu.Lock()
-		credited := l.credited
+		answered := l.answered
 		l.mu.Unlock()
 		failure := take()
 		if failure == nil || !l.Borrow() {
 			return failure
 		}
 		select {
-		case <-credited:
+		case <-answered:
+		case <-again.C:
 		case <-ctx.Done():
 			return failure
 		}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -38,11 +38,12 @@
 	is.NoErr(socket.Close())
 	h := &host{notices: make(chan peering.Notice, 1)}
 	h.Peer = peering.Peer{Host: id, Zone: "gondar", Address: address}
+	table := &allowance.Table{Self: id}
 	h.Lender = &peering.Lender{
-		Zone: "gondar", Log: zerolog.Nop(), Clock: stopped{}, Random: rand.Uint64,
-		Allowances: &allowance.Table{Self: id},
-		State:      func() peering.State { return peering.State{Host: id} },
-		Learn:      func(n peering.Notice) { h.notices <- n },
+		Log: zerolog.Nop(), Clock: stopped{}, Random: rand.Uint64, Allowances: table,
+		Borrower: &allowance.Borrower{Table: table, Zone: "gondar", Random: rand.Uint64},
+		State:    func() peering.State { return peering.State{Host: id} },
+		Learn:    func(n peering.Notice) { h.notices <- n },
 	}
 	stop, err := h.Listen(address)
 	is.NoErr(err)
@@ -89,6 +90,7 @@
 	for a.Allowances.Admit(now, "clerks") == nil {
 		admitted++
 	}
+	defer a.Allowances.Await("clerks")()
 	for a.Await(ctx, func() *proxy.Failure { return a.Allowances.Retry(now, "clerks") }) == nil {
 		admitted++
 	}
--- a/pkg/proxy/allowance/table.go
+++ b/pkg/proxy/allowance/table.go
@@ -25,20 +25,23 @@
 
 // Figures of the borrowing.
 const (
+	// LoanTime is how long a loan may be used. The lender counts it from the loan,
+	// the borrower from its request, which came before.
+	LoanTime = 150 * time.Millisecond
+	// loanMargin covers clock rates that differ by 1% between lender and borrower.
+	loanMargin = 5 * time.Millisecond
 	// demandTime is the time over which an account's demand is averaged.
 	demandTime = time.Second
-	// lowTime is the demand that a bucket should hold: below it the host borrows,
-	// and it lends nothing of it. It covers two rounds of borrowing.
+	// lowTime is the demand that a lender keeps for its own callers.
 	lowTime = 250 * time.Millisecond
-	// aheadTime is the demand for which a host borrows.
-	aheadTime = 500 * time.Millisecond
-	// minDemand is the demand below which a host does not borrow ahead, in 1/s.
-	minDemand = 0.2
+	// aheadTime is the demand for which a host borrows before operations ask. It is
+	// well below LoanTime, so that few loans end unused.
+	aheadTime = 90 * time.Millisecond
 	// maxLoan bounds the tokens of one loan.
 	maxLoan = 64
-	// homeRate is the least part of a rate that a home has, in 1/s: below it,
-	// buckets would hold fractions of tokens that nobody can use.
-	homeRate = 3.0
+	// homeRate is the least part of a rate that a home has, in 1/s. More homes
+	// spread the requests for loans; fewer keep the tokens together.
+	homeRate = 10.0
 	// minHomes keeps an account served, at part of its rate, while a home is away.
 	minHomes = 2
 )
@@ -61,11 +64,28 @@
 	revision proxy.Revision
 }
 
+// loan is a number of tokens that may be used until an instant.
+type loan struct {
+	until  proxy.Instant
+	tokens int
+}
+
 // bucket is a token bucket. It starts empty: what an earlier process of the host
 // admitted is not known.
+//
+// Invariant: the tokens of a home and those that it has lent, while they may be
+// used, are at most its part of the burst. No window therefore sees more than
+// the burst and what the rate yields in it.
 type bucket struct {
 	rate, burst, tokens float64
 	filled              proxy.Instant
+	// lent are the loans to others that may still be used, borrowed those from
+	// others, the oldest first.
+	lent, borrowed []loan
+	// waiting is the number of operations that wait for a token.
+	waiting int
+	// limit is the rate of the account over all hosts.
+	limit float64
 	// home reports that the host is among homes, the account's homes.
 	home  bool
 	homes []proxy.HostID
@@ -83,7 +103,6 @@
 ) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.revision = revision
 	hashes := make([]uint64, len(hosts))
 	for n, h := range hosts {
 		hashes[n] = xxhash.Sum64String(string(h))
@@ -95,6 +114,7 @@
 			b = &bucket{filled: now, asked: now, home: true}
 		}
 		b.fill(now)
+		b.limit = a.Rate
 		b.homes = homes(a, hosts, hashes)
 		home := slices.Contains(b.homes, t.Self)
 		if home && !b.home {
@@ -105,11 +125,14 @@
 			part := 1 / float64(len(b.homes))
 			b.rate, b.burst = a.Rate*part, a.Burst*part
 		}
-		// A host that is no home keeps nothing that it borrowed under other limits.
 		b.tokens = min(b.tokens, b.capacity())
+		if revision != t.revision {
+			// Nothing is kept that was borrowed under other limits.
+			b.borrowed = nil
+		}
 		buckets[id] = b
 	}
-	t.buckets = buckets
+	t.buckets, t.revision = buckets, revision
 }
 
 // homes chooses the homes of an account by rendezvous hashing, so that a change
@@ -156,17 +179,33 @@
 	return nil
 }
 
-// fill adds what the bucket's rate has yielded. Tokens above the burst, which a
-// loan may bring, are kept but not added to.
+// fill adds what the bucket's rate has yielded.
 func (b *bucket) fill(now proxy.Instant) {
+	b.lent, b.borrowed = unexpired(b.lent, now), unexpired(b.borrowed, now)
 	if now <= b.filled {
 		return
 	}
 	elapsed := now.Sub(b.filled).Seconds()
 	b.filled = now
-	if capacity := b.capacity(); b.tokens < capacity {
-		b.tokens = min(capacity, b.tokens+b.rate*elapsed)
+	if room := b.capacity() - float64(total(b.lent)); b.tokens < room {
+		b.tokens = min(room, b.tokens+b.rate*elapsed)
+	}
+}
+
+func unexpired(loans []loan, now proxy.Instant) []loan {
+	first := 0
+	for first < len(loans) && loans[first].until <= now {
+		first++
 	}
+	return loans[first:]
+}
+
+func total(loans []loan) int {
+	sum := 0
+	for _, l := range loans {
+		sum += l.tokens
+	}
+	return sum
 }
 
 // capacity is the number of tokens up to which the bucket fills.
@@ -201,6 +240,23 @@
 	return b.take(now)
 }
 
+// Await notes that an operation which Admit has refused waits for a token, until
+// the returned function is called.
+func (t *Table) Await(id proxy.AccountID) (leave func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.buckets[id]
+	if b == nil {
+		return func() {}
+	}
+	b.waiting++
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		b.waiting--
+	}
+}
+
 // Retry takes a token for an operation that Admit has refused.
 func (t *Table) Retry(now proxy.Instant, id proxy.AccountID) *proxy.Failure {
 	t.mu.Lock()
@@ -212,15 +268,24 @@
 	return b.take(now)
 }
 
+// take takes a borrowed token, which ends sooner, or one of the host's own.
 func (b *bucket) take(now proxy.Instant) *proxy.Failure {
 	b.fill(now)
+	if len(b.borrowed) > 0 {
+		b.borrowed[0].tokens--
+		if b.borrowed[0].tokens == 0 {
+			b.borrowed = b.borrowed[1:]
+		}
+		return nil
+	}
 	if b.tokens >= 1 {
 		b.tokens--
 		return nil
 	}
 	wait := time.Second
-	if b.rate > 0 {
-		wait = time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	if b.limit > 1 {
+		// The account's next token comes to one of its homes.
+		wait = time.Duration(float64(time.Second) / b.limit)
 	}
 	return &proxy.Failure{Code: proxy.Busy, Text: "account is above its rate", RetryAfter: wait}
 }
@@ -232,23 +297,21 @@
 }
 
 // Needs returns what the host would borrow now, by account, and the revision of
-// its limits.
+// its limits: tokens for the operations that wait, and for those that will ask
+// soon where the demand is steady.
 func (t *Table) Needs(now proxy.Instant) ([]Need, proxy.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var needs []Need
 	for id, b := range t.buckets {
-		b.fill(now)
-		demand := b.current(now)
-		if b.tokens >= max(demand*lowTime.Seconds(), 1) || demand <= b.rate && b.tokens >= 1 || demand < minDemand && b.tokens >= 1 {
+		ahead := int(b.current(now) * aheadTime.Seconds())
+		if b.waiting == 0 && ahead == 0 {
 			continue
 		}
-		if b.tokens < 1 && now.Sub(b.asked) > aheadTime {
-			// Nothing has been asked for recently.
-			continue
+		b.fill(now)
+		if missing := b.waiting + ahead - int(b.tokens) - total(b.borrowed); missing > 0 {
+			needs = append(needs, Need{Account: id, Tokens: min(missing, maxLoan)})
 		}
-		missing := int(math.Ceil(demand*aheadTime.Seconds() - b.tokens))
-		needs = append(needs, Need{Account: id, Tokens: min(max(missing, 1), maxLoan)})
 	}
 	slices.SortFunc(needs, func(a, b Need) int { return strings.Compare(string(a.Account), string(b.Account)) })
 	return needs, t.revision
@@ -267,18 +330,23 @@
 	b.fill(now)
 	spare := max(int(b.tokens-b.current(now)*lowTime.Seconds()), 0)
 	lent = min(wanted, spare, maxLoan)
-	b.tokens -= float64(lent)
+	if lent > 0 {
+		b.tokens -= float64(lent)
+		b.lent = append(b.lent, loan{until: now.Add(LoanTime + loanMargin), tokens: lent})
+	}
 	return lent, spare - lent
 }
 
-// Credit adds tokens that were borrowed under the limits of a revision.
-func (t *Table) Credit(now proxy.Instant, revision proxy.Revision, id proxy.AccountID, tokens int) {
+// Credit adds tokens that were borrowed under the limits of a revision, by a
+// request that was sent at an instant.
+func (t *Table) Credit(now, sent proxy.Instant, revision proxy.Revision, id proxy.AccountID, tokens int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.buckets[id]
-	if b == nil || tokens <= 0 || revision != t.revision {
+	until := sent.Add(LoanTime)
+	if b == nil || tokens <= 0 || revision != t.revision || until <= now {
 		return
 	}
-	b.fill(now)
-	b.tokens = min(b.tokens+float64(tokens), max(b.burst, maxLoan))
+	b.borrowed = append(b.borrowed, loan{until: until, tokens: tokens})
+	slices.SortFunc(b.borrowed, func(a, b loan) int { return cmp.Compare(a.until, b.until) })
 }
--- a/pkg/proxy/allowance/table_test.go
+++ b/pkg/proxy/allowance/table_test.go
@@ -1,6 +1,7 @@
 package allowance_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,8 +39,9 @@
 	return map[proxy.AccountID]directory.Account{account: {ID: account, Rate: rate, Burst: burst}}
 }
 
-// Guards against hosts that together admit more than an account's rate and
-// burst, however they lend tokens to each other and however many loans are lost.
+// Guards against hosts that together admit more than an account's rate and burst
+// in any window, however they lend tokens to each other, however late loans arrive
+// and however many are lost.
 func TestLoansNeverRaiseTheTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const hosts = 4
@@ -47,29 +49,92 @@
 		burst := float64(rapid.IntRange(0, 200).Draw(t, "burst"))
 		tables := fleet(hosts, accounts(rate, burst))
 		var now proxy.Instant
-		admitted := 0
+		var admitted []proxy.Instant
+		type loan struct {
+			host          *allowance.Table
+			sent, arrives proxy.Instant
+			tokens        int
+		}
+		var onWay []loan
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			onWay = slices.DeleteFunc(onWay, func(l loan) bool {
+				if l.arrives <= now {
+					l.host.Credit(now, l.sent, 1, account, l.tokens)
+				}
+				return l.arrives <= now
+			})
 			host := tables[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			leave := host.Await(account)
 			for range rapid.IntRange(0, 10).Draw(t, "operations") {
 				if host.Admit(now, account) == nil {
-					admitted++
+					admitted = append(admitted, now)
 				}
 			}
 			for _, need := range needs(host, now) {
 				lender := tables[rapid.IntRange(0, hosts-1).Draw(t, "lender")]
+				late := time.Duration(rapid.IntRange(0, 300).Draw(t, "late")) * time.Millisecond
 				lent, _ := lender.Lend(now, 1, need.Account, need.Tokens)
 				if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
-					host.Credit(now, 1, need.Account, lent)
+					onWay = append(onWay, loan{host, now, now.Add(late), lent})
 				}
 			}
+			leave()
 		}
-		if limit := rate*time.Duration(now).Seconds() + max(burst, hosts) + 1; float64(admitted) > limit {
-			t.Fatalf("admitted %d, limit %v", admitted, limit)
+		for first, from := range admitted {
+			for last := first; last < len(admitted); last++ {
+				window := admitted[last].Sub(from).Seconds()
+				if limit := rate*window + max(burst, hosts) + 1; float64(last-first+1) > limit {
+					t.Fatalf("admitted %d within %.3f s, limit %v", last-first+1, window, limit)
+				}
+			}
 		}
 	})
 }
 
+// Guards against tokens that gather on many hosts, each of which serves an account
+// now and then, until all are used at once.
+func TestTokensDoNotGather(t *testing.T) {
+	is := is.New(t)
+	const hosts, rate = 68, 7.0
+	tables := fleet(hosts, accounts(rate, rate))
+	serve := func(now proxy.Instant, host *allowance.Table) bool {
+		if host.Admit(now, account) == nil {
+			return true
+		}
+		defer host.Await(account)()
+		for _, home := range host.Homes(account) {
+			for _, need := range needs(host, now) {
+				lent, _ := tables[[]rune(string(home))[0]-'a'].Lend(now, 1, need.Account, need.Tokens)
+				host.Credit(now, now, 1, need.Account, lent)
+			}
+		}
+		return host.Retry(now, account) == nil
+	}
+	now := proxy.Instant(5 * time.Second)
+	for n := range 150 {
+		now = now.Add(500 * time.Millisecond)
+		host := tables[n%hosts]
+		serve(now, host)
+		// What hosts borrow between operations.
+		for _, need := range needs(host, now.Add(50*time.Millisecond)) {
+			home := tables[[]rune(string(host.Homes(account)[0]))[0]-'a']
+			lent, _ := home.Lend(now, 1, need.Account, need.Tokens)
+			host.Credit(now, now, 1, need.Account, lent)
+		}
+	}
+	now = now.Add(time.Second)
+	admitted := 0
+	for _, host := range tables {
+		for range 5 {
+			if serve(now, host) {
+				admitted++
+			}
+		}
+	}
+	is.True(admitted <= rate) // the burst
+}
+
 // Plays one account whose demand reaches a single host, at 60% of its rate over
 // seven hosts. Guards against refusals within the rate, which equal parts alone
 // would cause for most of the operations.
@@ -89,7 +154,7 @@
 		for _, need := range needs(tables[0], now) {
 			lender = lender%(hosts-1) + 1
 			lent, _ := tables[lender].Lend(now, 1, need.Account, need.Tokens)
-			tables[0].Credit(now, 1, need.Account, lent)
+			tables[0].Credit(now, now, 1, need.Account, lent)
 		}
 	}
 	is.True(refused*100 <= asked) // at most 1% refused within the rate
@@ -140,6 +205,7 @@
 	for now := proxy.Instant(5 * time.Second); now < proxy.Instant(35*time.Second); now = now.Add(110 * time.Millisecond) {
 		host := tables[asked*31%hosts]
 		asked++
+		leave := host.Await(account)
 		refused := host.Admit(now, account) != nil
 		for _, home := range host.Homes(account) {
 			if !refused {
@@ -147,10 +213,11 @@
 			}
 			for _, need := range needs(host, now) {
 				lent, _ := tables[[]rune(string(home))[0]-'a'].Lend(now, 1, need.Account, need.Tokens)
-				host.Credit(now, 1, need.Account, lent)
+				host.Credit(now, now, 1, need.Account, lent)
 			}
 			refused = host.Retry(now, account) != nil
 		}
+		leave()
 		if !refused {
 			served++
 		}
@@ -191,7 +258,7 @@
 	for drained := false; !drained; {
 		drained = tables[0].Admit(now, account) != nil
 	}
-	tables[0].Credit(now, 1, account, lent)
+	tables[0].Credit(now, now, 1, account, lent)
 	is.True(tables[0].Retry(now, account) != nil)
 	lent, left := tables[1].Lend(now, 2, account, 10)
 	is.Equal(lent, 0)
