--- a/internal/emulator/deployment/client.go
+++ b/internal/emulator/deployment/client.go
@@ -15,8 +15,12 @@
 	next int
 }
 
-// dialTimeout limits the opening of a connection.
-const dialTimeout = 2 * time.Second
+// Limits of the opening of a session. Clients of the platform wait 2 s for the
+// answer to the startup message.
+const (
+	dialTimeout    = 2 * time.Second
+	startupTimeout = 2 * time.Second
+)
 
 // Dial connects to a host and sends the startup message. It returns the answer
 // beside the client, which is nil where there is none.
@@ -26,6 +30,10 @@
 		return nil, "", fmt.Errorf("connect: %w", err)
 	}
 	c := &Client{conn: conn, in: bufio.NewReader(conn)}
+	if err := c.Limit(time.Now().Add(startupTimeout)); err != nil {
+		c.Close()
+		return nil, "", err
+	}
 	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
 		c.Close()
 		return nil, "", fmt.Errorf("send startup: %w", err)
@@ -35,6 +43,10 @@
 		c.Close()
 		return nil, "", fmt.Errorf("startup: %w", err)
 	}
+	if err := c.Limit(time.Time{}); err != nil {
+		c.Close()
+		return nil, "", err
+	}
 	return c, answer, nil
 }
 
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -143,11 +143,15 @@
 	return nil
 }
 
+// maxHarm is the longest time for which a relay does harm. It exceeds the time in
+// which a withdrawn key has to stop working.
+const maxHarm = 9 * time.Second
+
 // harm lets a relay do harm for a while.
 func (s *Soak) harm(ctx context.Context, random *rand.Rand, r *Relay, touched part) error {
 	defer s.calm.begin(false, touched)()
 	r.Set(Delayed + Harm(random.IntN(int(harms-Delayed))))
-	pause(ctx, between(random, 200*time.Millisecond, 5*time.Second))
+	pause(ctx, between(random, 200*time.Millisecond, maxHarm))
 	r.Set(Healthy)
 	return nil
 }
@@ -173,7 +177,7 @@
 func refuseStore(ctx context.Context, s *Soak, random *rand.Rand) error {
 	defer s.calm.begin(false, theStore)()
 	s.deployment.Store.SetDown(true)
-	pause(ctx, between(random, 200*time.Millisecond, 6*time.Second))
+	pause(ctx, between(random, 200*time.Millisecond, maxHarm))
 	s.deployment.Store.SetDown(false)
 	return nil
 }
