Bring crashed instances of the emulated deployment back as the platform does

Trace: i-11, primary of term 2, crashed; i-12 was promoted to term 3 and crashed; i-11 came back and still led, since the emulation compared terms of running instances only, and i-10 of term 3 took over its log. The platform brings a replaced primary back as a replica.

The emulation now remembers the newest term, replicas never follow an older one, and one that missed commits takes over the whole log.

--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -38,6 +38,16 @@
 
 type write struct{ request, item, data string }
 
+type journal []commit
+
+// end returns the serial of the last commit, zero for none.
+func (j journal) end() int {
+	if len(j) == 0 {
+		return 0
+	}
+	return j[len(j)-1].serial
+}
+
 // Instance is one instance of a group. Its fields are guarded by the group.
 type Instance struct {
 	ID      string
@@ -47,7 +57,7 @@
 	group       *Group
 	primary     bool
 	term        uint64
-	log         []commit
+	log         journal
 	connections int
 	seq         int
 	draining    bool
@@ -98,10 +108,14 @@
 	c := commit{serial: g.committed, term: i.term, writes: writes, visible: now.Add(g.Lag)}
 	i.log = append(i.log, c)
 	for _, other := range g.instances {
-		if other != i && !other.primary && !other.stopped && other.term <= i.term {
-			other.term = i.term
-			other.log = append(other.log[:min(len(other.log), len(i.log)-1)], c)
+		if other == i || other.primary || other.stopped || other.term > i.term {
+			continue
+		}
+		if other.log.end() != i.log[:len(i.log)-1].end() {
+			g.adopt(other, i)
+			continue
 		}
+		other.term, other.log = i.term, append(other.log, c)
 	}
 }
 
@@ -150,9 +164,15 @@
 	}
 }
 
-// follow makes an instance a replica of a primary; commits that the primary lacks
-// are rolled back. The caller holds the lock.
+// follow makes an instance a replica of a primary. The caller holds the lock.
 func (g *Group) follow(i, primary *Instance) {
+	g.adopt(i, primary)
+	g.register(i)
+}
+
+// adopt gives an instance the log of a primary; commits that the primary lacks are
+// rolled back. The caller holds the lock.
+func (g *Group) adopt(i, primary *Instance) {
 	kept := make(map[int]bool, len(primary.log))
 	for _, c := range primary.log {
 		kept[c.serial] = true
@@ -165,8 +185,7 @@
 		}
 	}
 	i.primary, i.term = false, primary.term
-	i.log = append([]commit(nil), primary.log...)
-	g.register(i)
+	i.log = append(journal(nil), primary.log...)
 }
 
 // register writes an instance's entry.
@@ -231,8 +250,11 @@
 		}
 		leader := g.leader()
 		i.stopped, i.draining, i.born = false, false, time.Now()
-		if leader != nil && (leader.term > i.term || !i.primary) {
-			g.follow(i, leader)
+		for _, other := range g.instances {
+			i.primary = i.primary && other.term <= i.term
+		}
+		if leader != nil && leader.term >= i.term && !i.primary {
+			g.adopt(i, leader)
 		}
 		g.register(i)
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -93,9 +93,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch draw := random.IntN(12); {
-	case draw == 0 && o.old != "":
+	case draw < 2 && o.old != "":
 		return o.old
-	case draw < 3:
+	case draw < 4:
 		return limited.Keys[0]
 	default:
 		return o.keys[random.IntN(len(o.keys))]
