--- a/internal/entry/whole_test.go
+++ b/internal/entry/whole_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 	"github.com/auburnyoke/auburnyoke/internal/entry"
+	"github.com/auburnyoke/auburnyoke/internal/soak"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/platform"
 )
@@ -41,6 +42,8 @@
 	stops []func()
 	// wrap changes the connections that hosts accept; nil leaves them.
 	wrap func(net.Conn) net.Conn
+	// store is where the next hosts reach the store; empty for directly.
+	store string
 }
 
 func start(t *testing.T, hosts int) *whole {
@@ -72,6 +75,9 @@
 		Peer: netip.MustParseAddrPort(addresses[2]), Store: w.StoreAddress, Orders: w.OrdersAddress,
 		Withdrawal: 5 * time.Second, Drain: 7 * time.Second, Grace: 3 * time.Second,
 	}
+	if w.store != "" {
+		s.Store = w.store
+	}
 	is.NoErr(s.Validate())
 	store, closeStore := platform.NewStore(s.Store)
 	orders, closeOrders := platform.NewOrders(s.Orders)
@@ -404,6 +410,34 @@
 	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ a", "ERROR AUTHFAIL")
 }
 
+// Guards against a host that learns of nothing, or stops serving for good, because
+// the store is silent to it alone.
+func TestHostWithoutTheStoreServes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	relay, stop, err := soak.StartRelay("127.0.0.1:0", w.StoreAddress)
+	is.NoErr(err)
+	t.Cleanup(stop)
+	w.store = relay.Address()
+	w.startHost("host-a", "gondar") // relays the store to host-0
+	w.await(w.hosts[2], "ledger-strict", "READ warm")
+	relay.Set(soak.Silent)
+	is.NoErr(w.Configure(2, tenants[1:]))
+	for _, h := range w.hosts {
+		w.awaitAnswer(h, "ledger-strict", "READ a", "ERROR AUTHFAIL")
+	}
+	is.NoErr(w.Configure(3, tenants))
+	for _, h := range w.hosts {
+		w.await(h, "ledger-strict", "READ a")
+	}
+	relay.Set(soak.Healthy)
+	is.NoErr(w.Configure(4, tenants[1:]))
+	for _, h := range w.hosts {
+		w.awaitAnswer(h, "ledger-strict", "READ a", "ERROR AUTHFAIL")
+	}
+}
+
 // Guards against a stop that cuts an open transaction.
 func TestStopLetsTransactionsEnd(t *testing.T) {
 	t.Parallel()
