Pack what relays send, and let the widest link of a zone relay

A change of the configuration, which grows with the fleet, went in full to each of 75 followers; the calls of followers ended before their transfers did, each took the relay for lost, and the next relay was a host with a link of 10 Mbit/s.

Objects from 1 KB are now packed with the version that the follower has, once for all followers. A follower without that version asks for everything. Of a zone's hosts one with the widest link relays, and hosts tell the width in their entries. A mirror keeps at most 4 MB of changes and sends the last one of each object.

--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -155,7 +155,14 @@
 		// The relay has yet to learn what this host has read itself.
 		return true
 	}
-	f.take(proof, proxy.Listing{Records: answer.Records, Version: answer.Version}, answer.Whole, answer.Hops+1)
+	records, err := f.mirror.unpack(answer.Changes)
+	if err != nil {
+		// The relay sends everything once it is asked by a host that knows nothing.
+		f.host.Log.Info().Err(err).Str("relay", string(relay.Host)).Str("kind", string(f.kind)).Msg("whole state needed")
+		f.version = 0
+		return true
+	}
+	f.take(proof, proxy.Listing{Records: records, Version: answer.Version}, answer.Whole, answer.Hops+1)
 	return true
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -137,10 +137,10 @@
 		Learn:    func(n peering.Notice) { h.learnTenure(n.Group, n.Record, n.Version) },
 	}
 	h.mirrors = map[proxy.Kind]*mirror{
-		h.Decode.ConfigurationKind: newMirror(gatherConfiguration),
-		h.Decode.InstanceKind:      newMirror(gatherInstances),
-		memberKind:                 newMirror(gatherMembers),
-		tenureKind:                 newMirror(0),
+		h.Decode.ConfigurationKind: newMirror(gatherConfiguration, h.Log),
+		h.Decode.InstanceKind:      newMirror(gatherInstances, h.Log),
+		memberKind:                 newMirror(gatherMembers, h.Log),
+		tenureKind:                 newMirror(0, h.Log),
 	}
 	h.distrusted = make(map[proxy.HostID]proxy.Instant)
 	h.relays = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: len(h.mirrors), DisableCompression: true}}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -45,6 +45,8 @@
 	// Address is where the host answers other hosts, over TCP and UDP.
 	Address string     `json:"address"`
 	Zone    proxy.Zone `json:"zone"`
+	// Link is the bandwidth of the host's link, zero if it is not known.
+	Link proxy.Megabits `json:"link,omitempty"`
 }
 
 // Validate checks an entry that was read from the store.
@@ -55,6 +57,9 @@
 	if r.Zone == "" {
 		return eris.New("host without an availability zone")
 	}
+	if r.Link < 0 {
+		return eris.Errorf("link of %v Mbit/s", r.Link)
+	}
 	return nil
 }
 
@@ -91,7 +96,7 @@
 // register writes the host's entry, unless an earlier process of this host has
 // left it, and reports whether it is there.
 func (h *Host) register(ctx context.Context) bool {
-	report := Report{Address: h.Settings.Peer.String(), Zone: h.Settings.Zone}
+	report := Report{Address: h.Settings.Peer.String(), Zone: h.Settings.Zone, Link: h.Settings.Link}
 	record, err := h.Store.Write(ctx, memberKind, string(h.Settings.Host), report, 0)
 	if errors.Is(err, proxy.ErrConflict) && record.Version != 0 {
 		if old, decoded := decodeReport(record); decoded != nil || old != report {
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -5,11 +5,17 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
-// mirrorLog is the number of changes that a mirror keeps for its followers.
-const mirrorLog = 1024
+// Limits of the changes that a mirror keeps for its followers: their number, and
+// the size of their objects in bytes.
+const (
+	maxChanges = 1024
+	maxSize    = 4 << 20
+)
 
 // How long a relay gathers changes of a kind before it answers, since each
 // answer costs every follower a wake-up. Leadership is not gathered: a group
@@ -27,14 +33,17 @@
 type mirror struct {
 	// gather is how long changes are gathered before followers get them.
 	gather time.Duration
+	log    zerolog.Logger
 
 	mu sync.Mutex
 	// records are the objects by name, as of version of the store.
 	records map[string]proxy.Record
 	version proxy.Version
-	// log holds the newest changes. It is complete after version floor.
-	log   []logged
-	floor proxy.Version
+	// changes holds the newest changes. It is complete after version floor.
+	changes []logged
+	floor   proxy.Version
+	// size is that of the objects in changes, in bytes.
+	size int
 	// hops is the number of relays between the mirror and the store.
 	hops int
 	// failing reports that the mirror's own source does not answer.
@@ -43,6 +52,8 @@
 	proof proxy.Instant
 	// moved is closed and replaced when the mirror or its proof has changed.
 	moved chan struct{}
+	// packed are objects as they are sent to followers.
+	packed packer
 }
 
 // logged is a change with the version of the store by which it was known.
@@ -51,8 +62,8 @@
 	at     proxy.Version
 }
 
-func newMirror(gather time.Duration) *mirror {
-	return &mirror{gather: gather, records: make(map[string]proxy.Record), moved: make(chan struct{})}
+func newMirror(gather time.Duration, log zerolog.Logger) *mirror {
+	return &mirror{gather: gather, log: log, records: make(map[string]proxy.Record), moved: make(chan struct{})}
 }
 
 // replace takes a whole listing. What differs from the mirror counts as changed,
@@ -95,11 +106,15 @@
 	} else {
 		m.records[record.Name] = record
 	}
-	m.log = append(m.log, logged{record, at})
-	if extra := len(m.log) - mirrorLog; extra > 0 {
-		m.floor = m.log[extra-1].at
-		m.log = slices.Delete(m.log, 0, extra)
+	m.changes = append(m.changes, logged{record, at})
+	m.size += len(record.Spec)
+	extra := 0
+	for extra < len(m.changes)-1 && (len(m.changes)-extra > maxChanges || m.size > maxSize) {
+		m.size -= len(m.changes[extra].record.Spec)
+		m.floor = m.changes[extra].at
+		extra++
 	}
+	m.changes = slices.Delete(m.changes, 0, extra)
 }
 
 // fail tells the followers to look for another source.
@@ -123,34 +138,30 @@
 	m.moved = make(chan struct{})
 }
 
-// Relayed is a mirror's answer to a follower.
-type Relayed struct {
-	// Whole reports that Records are all objects, not only changes.
-	Whole   bool           `cbor:"1,keyasint,omitempty"`
-	Records []proxy.Record `cbor:"2,keyasint,omitempty"`
-	Version proxy.Version  `cbor:"3,keyasint"`
-	// Lead is how long after the arrival of the request the relay's proof holds;
-	// negative for a proof that precedes it.
-	Lead time.Duration `cbor:"4,keyasint"`
-	// Hops is the number of relays between the relay and the store.
-	Hops int `cbor:"5,keyasint,omitempty"`
-}
-
-// since returns what a follower that knows a version lacks. The caller holds the
-// lock.
-func (m *mirror) since(known proxy.Version) (records []proxy.Record, whole bool) {
-	if known >= m.floor && known != 0 {
-		for _, l := range m.log {
-			if l.at > known {
-				records = append(records, l.record)
-			}
+// since returns what a follower that knows a version lacks, and what it has of
+// that. The caller holds the lock.
+func (m *mirror) since(known proxy.Version) (records []proxy.Record, bases map[string]proxy.Record, whole bool) {
+	if known < m.floor || known == 0 {
+		for _, record := range m.records {
+			records = append(records, record)
 		}
-		return records, false
+		return records, nil, true
 	}
-	for _, record := range m.records {
-		records = append(records, record)
+	bases = make(map[string]proxy.Record)
+	newest := make(map[string]int)
+	for n, l := range m.changes {
+		if l.at <= known {
+			bases[l.record.Name] = l.record
+		} else {
+			newest[l.record.Name] = n
+		}
 	}
-	return records, true
+	for n, l := range m.changes {
+		if last, ok := newest[l.record.Name]; ok && last == n {
+			records = append(records, l.record)
+		}
+	}
+	return records, bases, false
 }
 
 // relay returns what a follower that knows a version lacks. Where it lacks
@@ -171,11 +182,36 @@
 		time.Sleep(m.gather)
 		m.mu.Lock()
 	}
-	defer m.mu.Unlock()
 	if m.proof == 0 || m.failing {
+		m.mu.Unlock()
 		return Relayed{}, false
 	}
 	r := Relayed{Version: m.version, Lead: m.proof.Sub(arrived), Hops: m.hops}
-	r.Records, r.Whole = m.since(known)
+	var records []proxy.Record
+	var bases map[string]proxy.Record
+	records, bases, r.Whole = m.since(known)
+	m.mu.Unlock()
+	for _, record := range records {
+		c, err := m.packed.pack(record, bases[record.Name])
+		if err != nil {
+			m.log.Warn().Err(err).Msg("object is sent unpacked")
+		}
+		r.Changes = append(r.Changes, c)
+	}
 	return r, true
 }
+
+// unpack returns the records that a relay's changes lead to.
+func (m *mirror) unpack(changes []Change) ([]proxy.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	records := make([]proxy.Record, 0, len(changes))
+	for _, c := range changes {
+		record, err := c.unpack(m.records[c.Name])
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -45,19 +45,21 @@
 	relayPath  = "/relay"
 )
 
-// relayFor returns the host to follow: the first of the zone in the order of
-// names that has not failed recently. It returns false for that host itself. With
-// detour, which that host asks for while the store does not answer it, any host
-// of another zone will do, preferably the one that it follows already.
+// relayFor returns the host to follow: of the zone's hosts that have not failed
+// recently, the first in the order of links and names. It returns false for that
+// host itself. With detour, which that host asks for while the store does not
+// answer it, any host of another zone will do, preferably the one that it follows
+// already.
 func (h *Host) relayFor(detour bool, current proxy.HostID) (peering.Peer, bool) {
 	now := h.Clock.Now()
 	b := h.beliefs
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	first := h.Settings.Host
+	first, link := h.Settings.Host, h.Settings.Link
 	for id, m := range b.members {
-		if id < first && m.report.Zone == h.Settings.Zone && now >= h.distrusted[id] {
-			first = id
+		wider := m.report.Link > link || m.report.Link == link && id < first
+		if wider && m.report.Zone == h.Settings.Zone && now >= h.distrusted[id] {
+			first, link = id, m.report.Link
 		}
 	}
 	if first != h.Settings.Host {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,6 +30,9 @@
 	Memory int64
 	// Descriptors is the limit of open sockets, zero for none.
 	Descriptors int
+	// Link is the bandwidth of the host's link, zero if it is not known. Of the hosts
+	// of a zone, one with the widest link relays the store to the others.
+	Link proxy.Megabits
 	// Withdrawal is the time within which a withdrawn key stops working.
 	Withdrawal time.Duration
 	// Drain is how long a leaving instance may be used.
@@ -56,8 +59,8 @@
 	if s.Withdrawal < time.Second {
 		return eris.Errorf("withdrawal %v: want at least 1s", s.Withdrawal)
 	}
-	if s.Grace <= 0 || s.Drain <= 0 || s.Memory < 0 || s.Descriptors < 0 {
-		return eris.New("grace and drain must be positive, memory and descriptors not negative")
+	if s.Grace <= 0 || s.Drain <= 0 || s.Memory < 0 || s.Descriptors < 0 || s.Link < 0 {
+		return eris.New("grace and drain must be positive, memory, descriptors and link not negative")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/peering/pack_test.go
@@ -0,0 +1,72 @@
+package peering_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/internal/peering"
+)
+
+// configuration returns a configuration of a large fleet, of about 300 KB, whose
+// names are random.
+func configuration(timeout int) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	var routes []map[string]any
+	for range 1800 {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("%016x", random.Uint64()), "kind": "read_your_writes", "timeout_ms": 800,
+			"max_staleness_ms": 1500, "service": fmt.Sprintf("%08x", random.Uint32()), "priority": 1, "public": false,
+		})
+	}
+	routes[900]["timeout_ms"] = timeout
+	data, err := json.Marshal(map[string]any{"version": timeout, "routes": routes})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Plays a change of a large configuration. Guards against relays whose links are
+// filled by the configuration, one copy for each follower: a relay with 75
+// followers and a link of 10 Mbit/s has to send a change to all within a second,
+// which leaves 16 KB for each.
+func TestChangeOfALargeConfigurationIsSmall(t *testing.T) {
+	is := is.New(t)
+	before, after := configuration(800), configuration(900)
+	is.True(len(before) > 250_000)
+	packed, err := peering.Pack(before, after)
+	is.NoErr(err)
+	t.Logf("%d bytes, packed %d", len(after), len(packed))
+	is.True(len(packed) <= 16_000)
+	unpacked, err := peering.Unpack(before, packed)
+	is.NoErr(err)
+	is.True(bytes.Equal(unpacked, after))
+}
+
+// Guards against an object that is taken for whole though it was packed with
+// another base, or damaged.
+func TestUnpackNeedsTheBase(t *testing.T) {
+	is := is.New(t)
+	before, after := configuration(800), configuration(900)
+	packed, err := peering.Pack(before, after)
+	is.NoErr(err)
+	for name, base := range map[string][]byte{"none": nil, "other": configuration(1)[1000:]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			unpacked, err := peering.Unpack(base, packed)
+			is.True(err != nil || !bytes.Equal(unpacked, after))
+		})
+	}
+	_, err = peering.Unpack(before, packed[:len(packed)/2])
+	is.True(err != nil)
+	plain, err := peering.Pack(nil, after)
+	is.NoErr(err)
+	unpacked, err := peering.Unpack(nil, plain)
+	is.NoErr(err)
+	is.True(bytes.Equal(unpacked, after))
+}
--- a/pkg/proxy/ids.go
+++ b/pkg/proxy/ids.go
@@ -13,6 +13,9 @@
 type (
 	// EnvironmentID names an environment, the unit of configuration.
 	EnvironmentID string
+	// Megabits is a bandwidth in megabits a second.
+	Megabits float64
+
 	// HostID names an entry host. A host that restarts keeps its HostID and
 	// gets a new Incarnation.
 	HostID string
