--- a/pkg/proxy/allowance/fleet_test.go
+++ b/pkg/proxy/allowance/fleet_test.go
@@ -252,7 +252,8 @@
 		a := p.accounts[id]
 		first := 0
 		for last := range times {
-			for ; times[last].Sub(times[first]) > 5*time.Second; first++ {
+			for times[last].Sub(times[first]) > 5*time.Second {
+				first++
 			}
 			window := times[last].Sub(times[first]).Seconds()
 			is.True(float64(last-first+1) <= a.Rate*window+a.Burst+1)
