--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -110,6 +110,9 @@
 
 // fields adds how a statement was decided.
 func (t trace) fields(event *zerolog.Event) *zerolog.Event {
+	if t.account != "" {
+		event = event.Str("account", string(t.account))
+	}
 	if t.tries == 0 && t.waited == 0 {
 		return event
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -41,6 +41,8 @@
 
 // trace is what decided a statement.
 type trace struct {
+	// account is whose allowance was asked for; empty for none.
+	account proxy.AccountID
 	// instance is the last one that the statement was sent to, tries the number
 	// of those.
 	instance proxy.InstanceID
@@ -301,6 +303,7 @@
 	if _, known := c.Keys[s.key]; failure != nil || !known {
 		return op, failure
 	}
+	s.trace.account = op.account
 	return op, s.host.allow(arrived, op.account)
 }
 
