Pass newer beliefs to the tables after older ones, never before

Trace: host-1 came back at 17.16 s and learned of configuration, leadership and instances within 2 ms, in three goroutines. From then on every strict read of one group waited there for its time to end ("no connection was free in time", no instance), while the leader, i-02, was known and answered on the other hosts.

Cause: reconfigure gathered the state under the lock of the beliefs and passed it on after releasing it. A goroutine that had gathered before i-02 was known could be the last one to pass its state on; the table then lacked the instance until the next change. redistribute had the same order, so that limits of an older configuration could stay in use.

Both now hold a lock from gathering to passing on.

Ruled out: the lease (host-1 would refuse with "primary is not confirmed"), the connection limit (other hosts were served) and the emulated instances.

No deterministic test: the window lies between two locks, and nothing that a test can reach is called in it.

--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -3,5 +3,6 @@
 // instances, and replaces primaries together with the other hosts. Package
 // platform translates for it.
 //
-// Lock order: beliefs, then the tables of dispatch and allowance.
+// Lock order: Host.applying, the beliefs, then the tables of dispatch and
+// allowance.
 package entry
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,9 @@
 	mirrors    map[proxy.Kind]*mirror
 	distrusted map[proxy.HostID]proxy.Instant
 	relays     *http.Client
+	// applying is held while what is believed is passed to the tables, so that an
+	// older state never follows a newer one. It is locked before the beliefs.
+	applying sync.Mutex
 	// inForce reports that the host's part of rates is in use, membersChanged that
 	// the hosts have changed since; both are guarded by the lock of the beliefs.
 	inForce, membersChanged bool
@@ -270,6 +274,8 @@
 // reconfigure passes what is believed of configuration, instances and hosts to
 // the tables.
 func (h *Host) reconfigure() {
+	h.applying.Lock()
+	defer h.applying.Unlock()
 	now := h.Clock.Now()
 	b := h.beliefs
 	b.mu.Lock()
@@ -304,6 +310,8 @@
 
 // redistribute passes the hosts and the accounts to what divides rates.
 func (h *Host) redistribute() {
+	h.applying.Lock()
+	defer h.applying.Unlock()
 	now := h.Clock.Now()
 	b := h.beliefs
 	b.mu.Lock()
