--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,8 +33,8 @@
 }
 
 func run(o options) error {
-	if o.Hosts < 1 || o.Callers < 1 || o.Duration <= 0 {
-		return eris.New("hosts, callers and duration must be positive")
+	if o.Hosts < 1 || o.Hosts > soak.MaxHosts || o.Callers < 1 || o.Duration <= 0 {
+		return eris.Errorf("want 1 to %d hosts, callers and a duration above 0", soak.MaxHosts)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -14,10 +14,11 @@
 
 // The parts that are not hosts.
 const (
-	theStore     part = -1
-	theInstances part = -2
-	// theMachine is disturbed while the soak itself does not run on time.
-	theMachine part = -3
+	storePart     part = -1
+	instancesPart part = -2
+	// machinePart is the machine itself, which is disturbed while the soak does not
+	// run on time.
+	machinePart part = -3
 )
 
 type disturbance struct {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -167,15 +167,15 @@
 }
 
 func harmOrders(ctx context.Context, s *Soak, random *rand.Rand) error {
-	return s.harm(ctx, random, s.anyHost(random).orders, theInstances)
+	return s.harm(ctx, random, s.anyHost(random).orders, instancesPart)
 }
 
 func harmInstance(ctx context.Context, s *Soak, random *rand.Rand) error {
-	return s.harm(ctx, random, s.instances[random.IntN(len(s.instances))], theInstances)
+	return s.harm(ctx, random, s.instances[random.IntN(len(s.instances))], instancesPart)
 }
 
 func refuseStore(ctx context.Context, s *Soak, random *rand.Rand) error {
-	defer s.calm.begin(false, theStore)()
+	defer s.calm.begin(false, storePart)()
 	s.deployment.Store.SetDown(true)
 	pause(ctx, between(random, 200*time.Millisecond, maxHarm))
 	s.deployment.Store.SetDown(false)
@@ -183,13 +183,13 @@
 }
 
 func compactStore(_ context.Context, s *Soak, _ *rand.Rand) error {
-	defer s.calm.begin(false, theStore)()
+	defer s.calm.begin(false, storePart)()
 	s.deployment.Store.Compact()
 	return nil
 }
 
 func holdWatches(ctx context.Context, s *Soak, random *rand.Rand) error {
-	defer s.calm.begin(false, theStore)()
+	defer s.calm.begin(false, storePart)()
 	s.deployment.Store.HoldWatches(true)
 	pause(ctx, between(random, 200*time.Millisecond, 2*time.Second))
 	s.deployment.Store.HoldWatches(false)
@@ -198,7 +198,7 @@
 
 // crash stops an instance and starts it again.
 func (s *Soak) crash(ctx context.Context, random *rand.Rand, chosen func(ids []string, primary string) string) error {
-	defer s.calm.begin(false, theInstances)()
+	defer s.calm.begin(false, instancesPart)()
 	g := s.deployment.Groups[random.IntN(len(s.deployment.Groups))]
 	id := chosen(g.Instances(), g.Primary())
 	g.Crash(id)
@@ -217,7 +217,7 @@
 
 // drainPrimary lets a primary report that it leaves, and replaces it later.
 func drainPrimary(ctx context.Context, s *Soak, random *rand.Rand) error {
-	defer s.calm.begin(false, theInstances)()
+	defer s.calm.begin(false, instancesPart)()
 	g := s.deployment.Groups[random.IntN(len(s.deployment.Groups))]
 	id := g.Primary()
 	g.Drain(id)
@@ -228,7 +228,7 @@
 }
 
 func loseAnswers(_ context.Context, s *Soak, random *rand.Rand) error {
-	defer s.calm.begin(false, theInstances)()
+	defer s.calm.begin(false, instancesPart)()
 	s.deployment.Groups[random.IntN(len(s.deployment.Groups))].LoseAnswers(1 + random.IntN(5))
 	return nil
 }
@@ -243,7 +243,7 @@
 
 // failPart lets one instance refuse or fail part of its statements.
 func failPart(ctx context.Context, s *Soak, random *rand.Rand) error {
-	defer s.calm.begin(false, theInstances)()
+	defer s.calm.begin(false, instancesPart)()
 	g := s.deployment.Groups[random.IntN(len(s.deployment.Groups))]
 	ids := g.Instances()
 	failing := ids[random.IntN(len(ids))]
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -12,6 +12,9 @@
 	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 )
 
+// MaxHosts is the number of hosts that have an address of their own each.
+const MaxHosts = 250
+
 // firstPort is the first of a host's ports. Each host has an address of its own.
 const firstPort = 7560
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -171,7 +171,7 @@
 		}
 		s, ok := known[run.Request]
 		switch {
-		case run.Request == theAnswer:
+		case run.Request == servingRequest:
 		case !ok:
 			add("UNASKED", "%s ran %s, which no caller has sent", run.Instance, run.Request)
 		case s.Shape != run.Shape || s.Verb != run.Verb:
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -130,7 +130,7 @@
 			continue
 		case highest == version:
 			o.soak.ledger.report("CONFIG", "%s went back behind version %d", h.name, version)
-		case sent.Sub(accepted) > applyTime && o.soak.calm.holds(accepted, false, part(h.number), theStore, theMachine):
+		case sent.Sub(accepted) > applyTime && o.soak.calm.holds(accepted, false, part(h.number), storePart, machinePart):
 			o.soak.ledger.report("CONFIG", "version %d was not in force on %s %v after it was accepted",
 				version, h.name, sent.Sub(accepted).Round(time.Millisecond))
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -77,7 +77,7 @@
 	defer stopWork()
 	var working sync.WaitGroup
 	working.Go(func() { s.watchClock(work) })
-	if !s.await(startTime, func() bool { return s.serves(theAnswer) }) {
+	if !s.await(startTime, s.serves) {
 		return Report{}, fmt.Errorf("hosts did not serve within %v; logs are in %s", startTime, o.Directory)
 	}
 	s.note("hosts serve")
@@ -92,7 +92,7 @@
 	s.inject(faulty, random)
 	endFaults()
 	s.note("faults ended")
-	if !s.await(recoveryTime, func() bool { return s.serves(theAnswer) }) {
+	if !s.await(recoveryTime, s.serves) {
 		s.ledger.report("RECOVER", "hosts did not serve within %v after the faults", recoveryTime)
 	}
 	stopWork()
@@ -155,14 +155,14 @@
 	return stop, nil
 }
 
-// theAnswer is the id of the statements that ask whether hosts serve.
-const theAnswer = "serving"
+// servingRequest is the id of the statements that ask whether hosts serve.
+const servingRequest = "serving"
 
 // serves reports whether every host serves reads of every group's primary.
-func (s *Soak) serves(request string) bool {
+func (s *Soak) serves() bool {
 	for _, h := range s.hosts {
 		for _, g := range s.deployment.Groups {
-			if !answers(h, g.Name+"-strict", request) {
+			if !answers(h, g.Name+"-strict") {
 				return false
 			}
 		}
@@ -170,7 +170,8 @@
 	return true
 }
 
-func answers(h *host, database, request string) bool {
+// answers reports whether a host serves a read of a database.
+func answers(h *host, database string) bool {
 	client, _, err := deployment.Dial(h.callers.Address(), database, probeKey)
 	if err != nil {
 		return false
@@ -179,7 +180,7 @@
 	if client.Limit(time.Now().Add(answerTime)) != nil {
 		return false
 	}
-	answer, err := client.QueryAs(request, "READ nothing")
+	answer, err := client.QueryAs(servingRequest, "READ nothing")
 	return err == nil && len(answer) > 0 && answer[0] == 'D'
 }
 
@@ -212,7 +213,7 @@
 		now := time.Now()
 		if late := now.Sub(last) - tick; late > stallTime {
 			s.stalled.Add(int64(late/stallTime) + 1)
-			s.calm.begin(false, theMachine)()
+			s.calm.begin(false, machinePart)()
 		}
 		last = now
 	}
@@ -223,7 +224,7 @@
 func (s *Soak) lost(st Statement, h *host) {
 	p := part(h.number)
 	if !s.calm.stopping(st.Answered, p) ||
-		!s.calm.holds(st.Asked, true, p, theStore, theInstances, theMachine) {
+		!s.calm.holds(st.Asked, true, p, storePart, instancesPart, machinePart) {
 		return
 	}
 	if s.ledger.hasRun(st.Request) || st.Answered.Sub(st.Asked) > lossSlack {
