--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -122,7 +122,7 @@
 	gap := between(random, 100*time.Millisecond, time.Second)
 	for _, h := range s.hosts {
 		if err := stopHost(s, h); err != nil {
-			return err
+			return fmt.Errorf("one of several hosts: %w", err)
 		}
 		pause(ctx, gap)
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -61,7 +61,7 @@
 		r, stopRelay, err := StartRelay("127.0.0.1:0", each.target)
 		if err != nil {
 			stop()
-			return nil, nil, err
+			return nil, nil, fmt.Errorf("relay to %s: %w", each.target, err)
 		}
 		*each.relay = r
 		stops = append(stops, stopRelay)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -108,51 +108,68 @@
 			stops[n]()
 		}
 	}
+	onStop := func(f func()) { stops = append(stops, f) }
 	d, stopDeployment, err := deployment.Start(groups, zones, replicaLag, connections)
 	if err != nil {
 		return stop, fmt.Errorf("emulated deployment: %w", err)
 	}
-	stops = append(stops, stopDeployment)
+	onStop(stopDeployment)
 	s.deployment = d
 	d.Observe(s.ledger)
-	for _, g := range d.Groups {
+	if err := s.relayInstances(onStop); err != nil {
+		return stop, fmt.Errorf("relay of an instance: %w", err)
+	}
+	if err := s.operator.change(true); err != nil {
+		return stop, fmt.Errorf("first configuration: %w", err)
+	}
+	if err := s.startHosts(onStop); err != nil {
+		return stop, fmt.Errorf("host: %w", err)
+	}
+	for n := range s.options.Callers {
+		c := &caller{soak: s, name: fmt.Sprintf("c%d", n)}
+		c.newItem()
+		s.callers = append(s.callers, c)
+	}
+	return stop, nil
+}
+
+// relayInstances puts a relay before each instance.
+func (s *Soak) relayInstances(onStop func(func())) error {
+	for _, g := range s.deployment.Groups {
 		for _, id := range g.Instances() {
 			err := g.Reroute(id, func(address string) (string, error) {
 				r, stopRelay, err := StartRelay("127.0.0.1:0", address)
 				if err != nil {
 					return "", err
 				}
-				stops = append(stops, stopRelay)
+				onStop(stopRelay)
 				s.instances = append(s.instances, r)
 				return r.Address(), nil
 			})
 			if err != nil {
-				return stop, fmt.Errorf("relay of an instance: %w", err)
+				return fmt.Errorf("reroute %s: %w", id, err)
 			}
 		}
 	}
-	if err := s.operator.change(true); err != nil {
-		return stop, err
-	}
+	return nil
+}
+
+// startHosts starts the processes of all hosts.
+func (s *Soak) startHosts(onStop func(func())) error {
 	for n := range s.options.Hosts {
-		h, stopHost, err := newHost(s.options, d, n, zones[n%len(zones)])
+		h, stopHost, err := newHost(s.options, s.deployment, n, zones[n%len(zones)])
 		if err != nil {
-			return stop, fmt.Errorf("host: %w", err)
+			return fmt.Errorf("prepare number %d: %w", n, err)
 		}
-		stops = append(stops, stopHost)
+		onStop(stopHost)
 		s.hosts = append(s.hosts, h)
 	}
 	for _, h := range s.hosts {
 		if err := h.start(); err != nil {
-			return stop, err
+			return fmt.Errorf("start %s: %w", h.name, err)
 		}
 	}
-	for n := range s.options.Callers {
-		c := &caller{soak: s, name: fmt.Sprintf("c%d", n)}
-		c.newItem()
-		s.callers = append(s.callers, c)
-	}
-	return stop, nil
+	return nil
 }
 
 // servingRequest is the id of the statements that ask whether hosts serve.
