--- a/internal/peering/lender.go
+++ b/internal/peering/lender.go
@@ -22,8 +22,6 @@
 const (
 	// maxDatagram bounds a datagram, in bytes, so that none is fragmented.
 	maxDatagram = 1200
-	// maxNeeds bounds the accounts in one datagram.
-	maxNeeds = 24
 )
 
 // Peer is another host.
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/succession"
 )
 
@@ -56,7 +57,7 @@
 
 // Validate checks a message that came from another host.
 func (m *message) Validate() error {
-	if m.Request == 0 || len(m.Loans) > maxNeeds {
+	if m.Request == 0 || len(m.Loans) > allowance.MaxNeeds {
 		return eris.Errorf("message %d with %d loans", m.Request, len(m.Loans))
 	}
 	if m.Notice != nil {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -121,7 +121,7 @@
 	now := time.Now()
 	s := Statement{
 		Request: fmt.Sprintf("%s.r%d", c.name, c.requests), Session: c.session, Database: c.database,
-		Host: c.host.number, Key: c.key, Verb: verb, Sent: now, Asked: now,
+		Key: c.key, Verb: verb, Sent: now, Asked: now,
 	}
 	switch verb {
 	case "WRITE":
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -38,7 +38,8 @@
 
 // newHost prepares a host and returns a function that ends it and its relays.
 func newHost(o Options, d *deployment.Deployment, number int, zone string) (*host, func(), error) {
-	h := &host{number: number, name: fmt.Sprintf("host-%d", number), binary: o.Binary}
+	h := &host{number: number, name: fmt.Sprintf("host-%d", number), binary: o.Binary, ended: make(chan struct{})}
+	close(h.ended)
 	h.settings = filepath.Join(o.Directory, h.name+".toml")
 	h.log = filepath.Join(o.Directory, h.name+".log")
 	// Runs at the same time differ in the process id.
@@ -118,32 +119,25 @@
 // kill ends the process and waits for its end.
 func (h *host) kill() {
 	h.signal(syscall.SIGKILL)
-	h.wait()
+	<-h.end()
 }
 
 // stop ends the process gracefully, or kills it after the grace time.
 func (h *host) stop() {
 	h.signal(syscall.SIGTERM)
-	h.mu.Lock()
-	ended := h.ended
-	h.mu.Unlock()
-	if ended == nil {
-		return
-	}
 	select {
-	case <-ended:
+	case <-h.end():
 	case <-time.After(graceTime):
 		h.kill()
 	}
 }
 
-func (h *host) wait() {
+// end returns a channel that is closed once the process has ended, or if it was
+// never started.
+func (h *host) end() <-chan struct{} {
 	h.mu.Lock()
-	ended := h.ended
-	h.mu.Unlock()
-	if ended != nil {
-		<-ended
-	}
+	defer h.mu.Unlock()
+	return h.ended
 }
 
 // running returns the incarnation of the running process, zero for none.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -32,7 +32,6 @@
 	Request  string
 	Session  string
 	Database string
-	Host     int
 	Key      string
 	Verb     string
 	Shape    string
--- a/pkg/proxy/allowance/borrower.go
+++ b/pkg/proxy/allowance/borrower.go
@@ -18,8 +18,8 @@
 	silentTime = 500 * time.Millisecond
 	// emptyTime is how long a home that had nothing to lend is not asked again.
 	emptyTime = 60 * time.Millisecond
-	// maxNeeds bounds the accounts of one request, so that it fits a datagram.
-	maxNeeds = 24
+	// MaxNeeds bounds the accounts of one request, so that it fits a datagram.
+	MaxNeeds = 24
 )
 
 // Peer is another host that may lend.
@@ -123,7 +123,7 @@
 			byPeer[to] = at
 			requests = append(requests, Request{Number: b.Random(), To: to.Host, Revision: revision})
 		}
-		if r := &requests[at]; len(r.Needs) < maxNeeds {
+		if r := &requests[at]; len(r.Needs) < MaxNeeds {
 			r.Needs = append(r.Needs, need)
 		}
 	}
@@ -194,17 +194,16 @@
 }
 
 // Answer takes the loans of an answer, once and only as far as they were asked
-// for, and reports whether there are any.
-func (b *Borrower) Answer(now proxy.Instant, number uint64, loans []Loan) bool {
+// for.
+func (b *Borrower) Answer(now proxy.Instant, number uint64, loans []Loan) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.pending[number]
 	if !ok {
-		return false
+		return
 	}
 	delete(b.pending, number)
 	p.to.silent = 0
-	credited := false
 	for _, l := range loans {
 		wanted, asked := p.wanted[l.Account]
 		if !asked {
@@ -213,11 +212,9 @@
 		delete(p.wanted, l.Account)
 		if tokens := min(l.Tokens, wanted); tokens > 0 {
 			b.Table.Credit(now, p.sent, p.revision, l.Account, tokens)
-			credited = true
 		}
 		if l.Left == 0 && l.Tokens < wanted {
 			p.to.empty[l.Account] = now.Add(emptyTime)
 		}
 	}
-	return credited
 }
