Give prepared statements on instances names of their own

RESET, PARSE and EXECUTE leave in one write; an instance that fails the first two runs EXECUTE with the statement that another session, or an earlier definition, left under that name. Ruled out: waiting for PARSE, which costs a round trip; a new name is enough to make it NOSTMT. Change: each definition has an alias of session and number. Others' prepared statements do no harm any more, so a session change resets the connection only if values differ or 64 statements are kept. Before: TestFailedRestorationRunsNoOtherStatement fails, the other session's statement ran once.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -168,42 +168,56 @@
 	h.table.Discard(h.Clock.Now(), c, dispatch.Unreachable)
 }
 
+// maxPreparedPerConnection is the number of prepared statements on a connection from
+// which they are dropped, since the sessions that prepared them may have ended.
+const maxPreparedPerConnection = 64
+
 // stateCommands returns the commands that bring the session state on a connection to
 // that of this session, as far as st needs it.
 func (s *session) stateCommands(c *dispatch.Connection, st proxy.Statement) []proxy.Command {
 	var commands []proxy.Command
-	addCommand := func(verb proxy.Verb, text string) {
-		commands = append(commands, proxy.Command{Statement: proxy.Statement{Verb: verb, Text: text}})
+	if s.hasOtherValues(c) || len(c.Prepared) >= maxPreparedPerConnection {
+		commands = append(commands, proxy.Command{Statement: proxy.Statement{Verb: proxy.Reset}})
+		c.Values, c.Prepared = nil, nil
 	}
-	if c.SessionID != s.id {
-		if len(c.Values)+len(c.Prepared) > 0 {
-			addCommand(proxy.Reset, "")
-		}
-		c.SessionID, c.Values, c.Prepared = s.id, make(map[string]string), make(map[string]string)
+	if c.Values == nil {
+		c.Values, c.Prepared = make(map[string]string), make(map[string]bool)
 	}
 	for name, text := range s.values {
 		if c.Values[name] != text {
-			addCommand(proxy.SetValue, text)
+			commands = append(commands, proxy.Command{Statement: proxy.Statement{Verb: proxy.SetValue, Text: text}})
 			c.Values[name] = text
 		}
 	}
-	if st.Verb != proxy.Execute {
-		return commands
-	}
 	definition, ok := s.prepared[st.Name]
-	if ok && c.Prepared[st.Name] != definition.Text {
-		addCommand(proxy.Prepare, definition.Text)
-		c.Prepared[st.Name] = definition.Text
+	if st.Verb == proxy.Execute && ok && !c.Prepared[definition.Alias] {
+		commands = append(commands, proxy.Command{Statement: proxy.Statement{
+			Verb: proxy.Prepare, Name: definition.Name, Text: definition.Text, Alias: definition.Alias,
+		}})
+		c.Prepared[definition.Alias] = true
 	}
 	return commands
 }
 
+// hasOtherValues reports whether a connection has values that this session has not set.
+func (s *session) hasOtherValues(c *dispatch.Connection) bool {
+	for name := range c.Values {
+		if _, ok := s.values[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // exchange sends a command, preceded by those that restore the session state, and
 // returns its answer. After an error, the connection must be discarded.
 func (s *session) exchange(
 	c *dispatch.Connection, timeout time.Duration, command proxy.Command,
 ) (proxy.Answer, error) {
 	h := s.host
+	if command.Statement.Verb == proxy.Execute {
+		command.Statement.Alias = s.prepared[command.Statement.Name].Alias
+	}
 	commands := append(s.stateCommands(c, command.Statement), command)
 	sent := h.Clock.Now()
 	s.trace.instance, s.trace.after = c.Instance, command.After
@@ -218,16 +232,18 @@
 		return proxy.Answer{}, fmt.Errorf("exchange with instance: %w", err)
 	}
 	c.SessionPending = false
-	for _, earlier := range answers[:len(answers)-1] {
-		if earlier.Failure != nil {
+	answer := answers[len(answers)-1]
+	unknown := answer.Failure != nil && answer.Failure.Code == proxy.UnknownStatement
+	for n, earlier := range answers[:len(answers)-1] {
+		// A statement whose preparation failed has not run.
+		if earlier.Failure != nil && !(unknown && commands[n].Statement.Verb == proxy.Prepare) {
 			return proxy.Answer{}, fmt.Errorf("restore session state: %w", earlier.Failure)
 		}
 	}
-	answer := answers[len(answers)-1]
 	h.recordReachable(c.Instance)
 	h.clusterState.recordPosition(sent, c.Group, c.Instance, answer.Position)
-	if answer.Failure != nil && answer.Failure.Code == proxy.UnknownStatement {
-		c.Prepared = make(map[string]string)
+	if unknown {
+		c.Prepared = make(map[string]bool)
 	}
 	s.position = answer.Position
 	return answer, nil
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -270,7 +270,7 @@
 		h.connectionBroken(c, err)
 		return
 	}
-	c.SessionID, c.Values, c.Prepared = 0, nil, nil
+	c.Values, c.Prepared = nil, nil
 	h.clusterState.recordPosition(sent, group, c.Instance, answers[0].Position)
 	closeAll(h.table.Release(h.Clock.Now(), c))
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -23,8 +24,11 @@
 	key        string
 	// values holds the statements that set the session's values, by name of the
 	// value.
-	values   map[string]string
-	prepared map[string]proxy.Statement
+	values map[string]string
+	// prepared holds the definitions of the prepared statements by name. definitions
+	// is the number of all that the session has made.
+	prepared    map[string]proxy.Statement
+	definitions int
 	// committed is the log position of the session's last commit.
 	committed *proxy.Bookmark
 	// transaction is the open transaction; nil if there is none.
@@ -286,6 +290,8 @@
 	case proxy.SetValue:
 		s.values[st.Name] = st.Text
 	case proxy.Prepare:
+		s.definitions++
+		st.Alias = fmt.Sprintf("s%d-%d", s.id, s.definitions)
 		s.prepared[st.Name] = st
 	default:
 		delete(s.prepared, st.Name)
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -81,13 +81,11 @@
 	// SessionPending reports that the session on the instance is opened by the
 	// first exchange, which has not succeeded yet.
 	SessionPending bool
-	// SessionID is the client session whose values and prepared statements are on
-	// the connection; zero for none.
-	SessionID uint64
-	// Values and Prepared are the session values and prepared statements on the
-	// connection, as the texts of the statements that set them.
-	Values   map[string]string
-	Prepared map[string]string
+	// Values are the session values on the connection, as the texts of the statements
+	// that set them.
+	Values map[string]string
+	// Prepared holds the aliases of the prepared statements on the connection.
+	Prepared map[string]bool
 
 	inst     *instance
 	lastUsed proxy.Instant
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -52,8 +52,13 @@
 	Name string
 	// Writes reports, for a Prepare, that the prepared statement writes.
 	Writes bool
-	// Text is the statement as the client sent it. It is forwarded unchanged.
+	// Text is the statement as the client sent it. It is forwarded unchanged, except
+	// that Alias replaces Name.
 	Text string
+	// Alias is the name under which instances know a prepared statement; empty to use
+	// Name. Sessions share connections and choose the same names, so each definition
+	// has an alias of its own.
+	Alias string
 	// Term is the new term of a StepDown.
 	Term Term
 }
