Confirm session values before a statement is sent

An instance that fails RESET or SET ran the statement that left in the same write, with another session's values; the host discarded the answer, a write ended in doubt. The position sampler also took a failed RESET for a clean connection. Where the values were not restored, the statement has not run and is tried again or refused so.

--- a/internal/emulator/deployment/observer.go
+++ b/internal/emulator/deployment/observer.go
@@ -13,6 +13,9 @@
 	Verb string
 	// Shape is the query shape of a prepared statement, empty for other statements.
 	Shape string
+	// Values are the session values that were in force, as "NAME VALUE" by name, joined by
+	// commas.
+	Values string
 	// Row is the value that a read returned.
 	Row string
 	// Signature is the unique value in the answer to the statement.
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +19,7 @@
 	in            *bufio.Reader
 	out           net.Conn
 	prepared      map[string]prepared
+	values        map[string]string
 	inTransaction bool
 	readOnly      bool
 	failed        bool
@@ -26,7 +29,7 @@
 // serve serves a connection until it is closed or sends anything other than a query.
 func (i *Instance) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	s := &session{at: i, in: bufio.NewReader(conn), out: conn, prepared: make(map[string]prepared)}
+	s := &session{at: i, in: bufio.NewReader(conn), out: conn, prepared: make(map[string]prepared), values: make(map[string]string)}
 	line, err := s.in.ReadString('\n')
 	if err != nil {
 		return
@@ -141,10 +144,16 @@
 		return completeLine
 	case "COMMIT":
 		return s.commit(id)
-	case "SET", "CLOSE":
+	case "SET":
+		if len(fields) < 2 {
+			return s.refuse("MALFORMED")
+		}
+		s.values[fields[1]] = strings.Join(fields[2:], " ")
+		return completeLine
+	case "CLOSE":
 		return completeLine
 	case "RESET":
-		s.prepared = make(map[string]prepared)
+		s.prepared, s.values = make(map[string]prepared), make(map[string]string)
 		return completeLine
 	case "PARSE":
 		if len(fields) < 4 {
@@ -251,12 +260,22 @@
 		currentPrimary := g.currentPrimary()
 		run.At, run.Instance, run.Account, run.Transaction = time.Now(), s.at.ID,
 			s.account, s.inTransaction || run.Verb == "COMMIT"
+		run.Values = s.valuesText()
 		run.Superseded = currentPrimary != nil && currentPrimary.term > s.at.term
 		g.observer.Ran(run)
 	}
 	return run.Signature
 }
 
+// valuesText returns the session values in the form of Run.Values.
+func (s *session) valuesText() string {
+	var texts []string
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		texts = append(texts, name+" "+s.values[name])
+	}
+	return strings.Join(texts, ",")
+}
+
 // status returns the answer to STATUS.
 func (s *session) status() string {
 	role := "replica"
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -172,31 +173,21 @@
 // which they are dropped, since the sessions that prepared them may have ended.
 const maxPreparedPerConnection = 64
 
-// stateCommands returns the commands that bring the session state on a connection to
-// that of this session, as far as st needs it.
-func (s *session) stateCommands(c *dispatch.Connection, st proxy.Statement) []proxy.Command {
+// valueCommands returns the commands that bring the session values on a connection to
+// those of this session, and the values that the connection then has.
+func (s *session) valueCommands(c *dispatch.Connection) ([]proxy.Command, map[string]string) {
 	var commands []proxy.Command
+	values := c.Values
 	if s.hasOtherValues(c) || len(c.Prepared) >= maxPreparedPerConnection {
 		commands = append(commands, proxy.Command{Statement: proxy.Statement{Verb: proxy.Reset}})
-		c.Values, c.Prepared = nil, nil
-	}
-	if c.Values == nil {
-		c.Values, c.Prepared = make(map[string]string), make(map[string]bool)
+		c.Prepared, values = nil, nil
 	}
 	for name, text := range s.values {
-		if c.Values[name] != text {
+		if values[name] != text {
 			commands = append(commands, proxy.Command{Statement: proxy.Statement{Verb: proxy.SetValue, Text: text}})
-			c.Values[name] = text
 		}
 	}
-	definition, ok := s.prepared[st.Name]
-	if st.Verb == proxy.Execute && ok && !c.Prepared[definition.Alias] {
-		commands = append(commands, proxy.Command{Statement: proxy.Statement{
-			Verb: proxy.Prepare, Name: definition.Name, Text: definition.Text, Alias: definition.Alias,
-		}})
-		c.Prepared[definition.Alias] = true
-	}
-	return commands
+	return commands, maps.Clone(s.values)
 }
 
 // hasOtherValues reports whether a connection has values that this session has not set.
@@ -209,46 +200,137 @@
 	return false
 }
 
-// exchange sends a command, preceded by those that restore the session state, and
-// returns its answer. After an error, the connection must be discarded.
-func (s *session) exchange(
-	c *dispatch.Connection, timeout time.Duration, command proxy.Command,
-) (proxy.Answer, error) {
-	h := s.host
-	if command.Statement.Verb == proxy.Execute {
-		command.Statement.Alias = s.prepared[command.Statement.Name].Alias
+// preparation returns the command that prepares the statement that st executes, unless
+// the connection has it, as a slice of at most one.
+func (s *session) preparation(c *dispatch.Connection, st proxy.Statement) []proxy.Command {
+	definition, ok := s.prepared[st.Name]
+	if st.Verb != proxy.Execute || !ok || c.Prepared[definition.Alias] {
+		return nil
+	}
+	if c.Prepared == nil {
+		c.Prepared = make(map[string]bool)
+	}
+	c.Prepared[definition.Alias] = true
+	return []proxy.Command{{Statement: proxy.Statement{
+		Verb: proxy.Prepare, Name: definition.Name, Text: definition.Text, Alias: definition.Alias,
+	}}}
+}
+
+// unsentError is the error of an exchange that ended before the statement was sent, or
+// after a BEGIN whose session values were not restored. The connection must be
+// discarded. Refused reports that the instance has refused to restore the values.
+type unsentError struct {
+	err     error
+	refused bool
+}
+
+func (e *unsentError) Error() string { return "session values were not restored: " + e.err.Error() }
+
+func (e *unsentError) Unwrap() error { return e.err }
+
+// restoreValues brings the session values on a connection to those of this session.
+func (s *session) restoreValues(
+	c *dispatch.Connection, timeout time.Duration, commands []proxy.Command, values map[string]string,
+) error {
+	answers, err := s.send(c, timeout, commands)
+	var unopened *unopenedError
+	switch {
+	case errors.As(err, &unopened):
+		unopened.mayHaveRun = false
+		return unopened
+	case err != nil:
+		return &unsentError{err: err}
+	}
+	if failure := firstFailure(answers); failure != nil {
+		return &unsentError{err: failure, refused: true}
 	}
-	commands := append(s.stateCommands(c, command.Statement), command)
+	c.Values = values
+	return nil
+}
+
+func firstFailure(answers []proxy.Answer) *proxy.Failure {
+	for _, answer := range answers {
+		if answer.Failure != nil {
+			return answer.Failure
+		}
+	}
+	return nil
+}
+
+// send sends commands and returns their answers. It records the position in the last
+// one.
+func (s *session) send(
+	c *dispatch.Connection, timeout time.Duration, commands []proxy.Command,
+) ([]proxy.Answer, error) {
+	h := s.host
 	sent := h.Clock.Now()
-	s.trace.instance, s.trace.after = c.Instance, command.After
-	s.trace.tries++
 	answers, err := c.Conn.Exchange(max(timeout, minExchangeTimeout), commands...)
 	if errors.Is(err, proxy.ErrNotOpened) {
 		var refusal *proxy.Failure
 		mayHaveRun := !errors.As(err, &refusal)
-		return proxy.Answer{}, &unopenedError{failure: h.discardUnopened(c, err, true), mayHaveRun: mayHaveRun}
+		return nil, &unopenedError{failure: h.discardUnopened(c, err, true), mayHaveRun: mayHaveRun}
 	}
 	if err != nil {
-		return proxy.Answer{}, fmt.Errorf("exchange with instance: %w", err)
+		return nil, fmt.Errorf("exchange with instance: %w", err)
 	}
 	c.SessionPending = false
-	answer := answers[len(answers)-1]
-	unknown := answer.Failure != nil && answer.Failure.Code == proxy.UnknownStatement
-	for n, earlier := range answers[:len(answers)-1] {
-		// A statement whose preparation failed has not run.
-		if earlier.Failure != nil && !(unknown && commands[n].Statement.Verb == proxy.Prepare) {
-			return proxy.Answer{}, fmt.Errorf("restore session state: %w", earlier.Failure)
+	h.recordReachable(c.Instance)
+	h.clusterState.recordPosition(sent, c.Group, c.Instance, answers[len(answers)-1].Position)
+	return answers, nil
+}
+
+// exchange sends a command and returns its answer. Before that, it restores the values
+// of the session. A statement is sent only after the instance has confirmed them, since
+// an instance that fails to set one runs the statement all the same. Only a BEGIN, which
+// is followed by other statements, leaves together with them. After an error, the
+// connection must be discarded.
+func (s *session) exchange(
+	c *dispatch.Connection, timeout time.Duration, command proxy.Command,
+) (proxy.Answer, error) {
+	s.trace.instance, s.trace.after = c.Instance, command.After
+	s.trace.tries++
+	commands, values := s.valueCommands(c)
+	begins := command.Statement.Verb == proxy.Begin || command.Statement.Verb == proxy.BeginRead
+	if len(commands) > 0 && !begins {
+		start := s.host.Clock.Now()
+		if err := s.restoreValues(c, timeout, commands, values); err != nil {
+			return proxy.Answer{}, err
 		}
+		timeout -= s.host.Clock.Now().Sub(start)
+		commands = nil
 	}
-	h.recordReachable(c.Instance)
-	h.clusterState.recordPosition(sent, c.Group, c.Instance, answer.Position)
-	if unknown {
-		c.Prepared = make(map[string]bool)
+	if command.Statement.Verb == proxy.Execute {
+		commands = s.preparation(c, command.Statement)
+		command.Statement.Alias = s.prepared[command.Statement.Name].Alias
+	}
+	answers, err := s.send(c, timeout, append(commands, command))
+	if err != nil {
+		return proxy.Answer{}, err
+	}
+	answer := answers[len(answers)-1]
+	if failure := firstFailure(answers[:len(answers)-1]); failure != nil && begins {
+		return proxy.Answer{}, &unsentError{err: failure, refused: true}
+	}
+	if begins {
+		c.Values = values
+	}
+	if answer.Failure != nil && answer.Failure.Code == proxy.UnknownStatement {
+		// The preparation may have failed or be lost.
+		c.Prepared = nil
 	}
 	s.position = answer.Position
 	return answer, nil
 }
 
+// discardUnsent discards a connection on which a statement was not sent.
+func (h *Host) discardUnsent(c *dispatch.Connection, unsent *unsentError) {
+	if unsent.refused {
+		h.discardUnneeded(c)
+		return
+	}
+	h.connectionBroken(c, unsent)
+}
+
 // checkPrepared refuses the execution of a statement that the session has not
 // prepared.
 func (s *session) checkPrepared(st proxy.Statement) *proxy.Failure {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -270,6 +270,10 @@
 		h.connectionBroken(c, err)
 		return
 	}
+	if answers[0].Failure != nil {
+		h.discardUnneeded(c)
+		return
+	}
 	c.Values, c.Prepared = nil, nil
 	h.clusterState.recordPosition(sent, group, c.Instance, answers[0].Position)
 	closeAll(h.table.Release(h.Clock.Now(), c))
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -96,6 +96,11 @@
 	if errors.As(err, &unopened) {
 		return s.unopened(t, c, unopened)
 	}
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		h.discardUnsent(c, unsent)
+		return s.unsent(t, c, unsent)
+	}
 	if err != nil {
 		h.connectionBroken(c, err)
 		return s.broken(t, c, err)
@@ -160,6 +165,17 @@
 	return s.failure(err.failure), true
 }
 
+// unsent decides whether to try again after the statement was not sent because the
+// session values were not restored.
+func (s *session) unsent(t *singleStatement, c *dispatch.Connection, unsent *unsentError) (proxy.Answer, bool) {
+	t.avoidInstance(c)
+	if len(t.avoid) >= s.instanceCount(t) {
+		t.avoid = nil
+	}
+	time.Sleep(busyRetryDelay)
+	return s.fail(proxy.Busy, unsent.Error()), true
+}
+
 // avoidInstance excludes an instance from further tries, unless the statement needs
 // the primary.
 func (t *singleStatement) avoidInstance(c *dispatch.Connection) {
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -162,6 +162,12 @@
 		}
 		return avoid, unopened.failure, true
 	}
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		h.discardUnsent(c, unsent)
+		time.Sleep(busyRetryDelay)
+		return avoid, &proxy.Failure{Code: proxy.Aborted, Text: unsent.Error()}, true
+	}
 	if err != nil {
 		h.connectionBroken(c, err)
 		return append(avoid, c.Instance), &proxy.Failure{Code: proxy.Aborted, Text: "instance did not answer"}, true
@@ -201,6 +207,10 @@
 	for range maxTries {
 		var err error
 		answer, err = s.exchange(t.connection, deadline.Sub(h.Clock.Now()), proxy.Command{Statement: st})
+		var unsent *unsentError
+		if errors.As(err, &unsent) {
+			return s.handleUnsent(st, unsent)
+		}
 		if err != nil {
 			return s.handleBrokenTransaction(st, err)
 		}
@@ -242,6 +252,19 @@
 	return s.fail(proxy.Aborted, "instance did not answer")
 }
 
+// handleUnsent ends the transaction's work after a statement was not sent. Closing the
+// connection rolls the transaction back.
+func (s *session) handleUnsent(st proxy.Statement, unsent *unsentError) proxy.Answer {
+	t := s.transaction
+	s.host.discardUnsent(t.connection, unsent)
+	t.connection, t.failed = nil, true
+	s.host.endPrimaryOperation(t)
+	if st.Verb == proxy.Commit {
+		s.transaction = nil
+	}
+	return s.fail(proxy.Aborted, unsent.Error())
+}
+
 // handleCommitAnswer ends the transaction after an answer to its commit and returns
 // the answer for the client.
 func (s *session) handleCommitAnswer(answer proxy.Answer) proxy.Answer {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -29,6 +29,9 @@
 	key      string
 	host     *host
 	prepared bool
+	// values are the session values that were acknowledged, in the form of
+	// deployment.Run.Values.
+	values string
 	// item is the item that the client currently writes. After a write with unknown
 	// outcome the client switches to a new item, since the write may still arrive.
 	item string
@@ -74,7 +77,7 @@
 	c.host = c.soak.hosts[c.random.IntN(len(c.soak.hosts))]
 	group := c.soak.deployment.Groups[c.random.IntN(len(c.soak.deployment.Groups))]
 	c.database = group.Name + "-" + []string{"strict", "own", "own", "bounded"}[c.random.IntN(4)]
-	c.key, c.prepared = c.soak.operator.key(c.random), false
+	c.key, c.prepared, c.values = c.soak.operator.key(c.random), false, ""
 	client, greeting, err := deployment.Dial(c.host.clientRelay.Address(), c.database, c.key)
 	if err != nil || !strings.HasPrefix(greeting, "READY") {
 		if client != nil {
@@ -83,6 +86,22 @@
 		return false
 	}
 	c.client = client
+	return c.sessions%valueSessions != 0 || c.setValue()
+}
+
+// valueSessions is the number of sessions of a client of which one sets a value.
+const valueSessions = 3
+
+// setValue sets a session value that differs from those of all other sessions, so that a
+// mix-up between sessions is detected.
+func (c *simulatedClient) setValue() bool {
+	c.requests++
+	answer, ok := c.query(fmt.Sprintf("%s.r%d", c.name, c.requests), "SET zone "+c.session)
+	if !ok || !strings.HasPrefix(answer, "COMPLETE") {
+		c.client.Close()
+		return false
+	}
+	c.values = "zone " + c.session
 	return true
 }
 
@@ -121,7 +140,7 @@
 	now := time.Now()
 	s := Statement{
 		Request: fmt.Sprintf("%s.r%d", c.name, c.requests), Session: c.session, Database: c.database,
-		Key: c.key, Verb: verb, Began: now, Sent: now,
+		Key: c.key, Values: c.values, Verb: verb, Began: now, Sent: now,
 	}
 	switch verb {
 	case "WRITE":
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,7 +35,10 @@
 	Session  string
 	Database string
 	Key      string
-	Verb     string
+	// Values are the session values that were acknowledged to the client, in the form of
+	// deployment.Run.Values.
+	Values string
+	Verb   string
 	// Shape is the query shape of a prepared statement, empty for other statements.
 	Shape string
 	Item  string
@@ -183,6 +186,8 @@
 			add("UNASKED", "%s ran %s, which no caller has sent", run.Instance, run.Request)
 		case s.Shape != run.Shape || s.Verb != run.Verb:
 			add("PINNED", "%s ran as %s %q, sent as %s %q", run.Request, run.Verb, run.Shape, s.Verb, s.Shape)
+		case s.Values != run.Values:
+			add("PINNED", "%s ran with the session values %q, acknowledged were %q", run.Request, run.Values, s.Values)
 		}
 	}
 	for _, s := range l.statements {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -101,6 +101,11 @@
 			s.Shape, run.Shape = "q1", "q2"
 			l.Record(s, run)
 		}, "PINNED"},
+		"session values of another session": {func(l *soak.Ledger) {
+			s, run := read("r1", "ledger-strict", "s1", 0, 0)
+			s.Values, run.Values = "zone a", "zone b"
+			l.Record(s, run)
+		}, "PINNED"},
 		"withdrawn key": {func(l *soak.Ledger) {
 			l.RecordWithdrawal("key", at(0))
 			l.Record(read("r1", "ledger-strict", "s1", 0, 5001*time.Millisecond))
