--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -1,13 +1,11 @@
 package entry_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -441,96 +439,6 @@
 	}
 }
 
-// Guards against a graceful stop that interrupts an open transaction.
-func TestStopLetsTransactionsEnd(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	w := start(t, 2)
-	c, idle := w.session(0, "ledger-strict"), w.session(0, "ledger-strict")
-	c.query("BEGIN")
-	is.True(strings.HasPrefix(c.query("WRITE s one"), "COMPLETE i-"))
-	w.stops[0]()
-	_, err := idle.ReadLine()
-	is.True(err != nil) // the idle session is closed
-	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
-	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
-}
-
-// stalledConn simulates the connection of a host that gets no processor time: while
-// stalled, reads wait until the host sets a deadline on the connection or closes it.
-type stalledConn struct {
-	net.Conn
-	stalled atomic.Bool
-	once    sync.Once
-	resumed chan struct{}
-}
-
-func (c *stalledConn) Read(b []byte) (int, error) {
-	if c.stalled.Load() {
-		<-c.resumed
-	}
-	return c.Conn.Read(b)
-}
-
-func (c *stalledConn) resume() {
-	if c.stalled.Load() {
-		c.once.Do(func() { close(c.resumed) })
-	}
-}
-
-func (c *stalledConn) SetReadDeadline(at time.Time) error {
-	err := c.Conn.SetReadDeadline(at)
-	c.resume()
-	return err
-}
-
-func (c *stalledConn) Close() error {
-	err := c.Conn.Close()
-	c.resume()
-	return err
-}
-
-// Guards against a stop that closes a session whose next statement has arrived but
-// was not read yet, because the host had no processor time.
-func TestStopAnswersStatementsThatHaveArrived(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	w := start(t, 1)
-	var accepted atomic.Pointer[stalledConn]
-	w.wrap = func(conn net.Conn) net.Conn {
-		c := &stalledConn{Conn: conn, resumed: make(chan struct{})}
-		accepted.Store(c)
-		return c
-	}
-	w.startHost("host-late", "gondar")
-	host := w.hosts[1]
-	w.await(host, "ledger-strict", "READ warm")
-	conn, err := net.Dial("tcp4", host.Listen)
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	exchange := func(message string) string {
-		_, err := conn.Write([]byte(message))
-		is.NoErr(err)
-		for {
-			line, err := in.ReadString('\n')
-			if err != nil {
-				return "connection lost"
-			}
-			if strings.HasPrefix(line, "READY") {
-				return strings.TrimSpace(line)
-			}
-		}
-	}
-	is.Equal(exchange("STARTUP ledger-strict key-clerks\r\n"), "READY I -")
-	accepted.Load().stalled.Store(true) // the read of the next statement is under way
-	exchange("QUERY r1 SET a b\r\n")
-	_, err = conn.Write([]byte("QUERY r2 SET a c\r\n"))
-	is.NoErr(err)
-	w.stops[1]()
-	is.Equal(exchange(""), "READY I -")
-}
-
 // Guards against reads that fail because one instance fails some of them although
 // another instance could answer, and against a refusal that reports such a read as
 // not run.
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,154 @@
+package entry_test
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a graceful stop that interrupts an open transaction.
+func TestStopLetsTransactionsEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	c, idle := w.session(0, "ledger-strict"), w.session(0, "ledger-strict")
+	c.query("BEGIN")
+	is.True(strings.HasPrefix(c.query("WRITE s one"), "COMPLETE i-"))
+	w.stops[0]()
+	_, err := idle.ReadLine()
+	is.True(err != nil) // the idle session is closed
+	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
+	w.awaitAnswer(w.hosts[1], "ledger-strict", "READ s", "DATAROW one|")
+}
+
+// stalledConn simulates the connection of a host that gets no processor time: while
+// stalled, reads wait until the host sets a deadline on the connection or closes it.
+type stalledConn struct {
+	net.Conn
+	stalled atomic.Bool
+	once    sync.Once
+	resumed chan struct{}
+}
+
+func (c *stalledConn) Read(b []byte) (int, error) {
+	if c.stalled.Load() {
+		<-c.resumed
+	}
+	return c.Conn.Read(b)
+}
+
+func (c *stalledConn) resume() {
+	if c.stalled.Load() {
+		c.once.Do(func() { close(c.resumed) })
+	}
+}
+
+func (c *stalledConn) SetReadDeadline(at time.Time) error {
+	err := c.Conn.SetReadDeadline(at)
+	c.resume()
+	return err
+}
+
+func (c *stalledConn) Close() error {
+	err := c.Conn.Close()
+	c.resume()
+	return err
+}
+
+// Guards against a stop that closes a session whose next statement has arrived but
+// was not read yet, because the host had no processor time.
+func TestStopAnswersStatementsThatHaveArrived(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	var accepted atomic.Pointer[stalledConn]
+	w.wrap = func(conn net.Conn) net.Conn {
+		c := &stalledConn{Conn: conn, resumed: make(chan struct{})}
+		accepted.Store(c)
+		return c
+	}
+	w.startHost("host-late", "gondar")
+	host := w.hosts[1]
+	w.await(host, "ledger-strict", "READ warm")
+	conn, err := net.Dial("tcp4", host.Listen)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	exchange := func(message string) string {
+		_, err := conn.Write([]byte(message))
+		is.NoErr(err)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return "connection lost"
+			}
+			if strings.HasPrefix(line, "READY") {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	is.Equal(exchange("STARTUP ledger-strict key-clerks\r\n"), "READY I -")
+	accepted.Load().stalled.Store(true) // the read of the next statement is under way
+	exchange("QUERY r1 SET a b\r\n")
+	_, err = conn.Write([]byte("QUERY r2 SET a c\r\n"))
+	is.NoErr(err)
+	w.stops[1]()
+	is.Equal(exchange(""), "READY I -")
+}
+
+// lateConn simulates the connection of a host that gets no processor time between the
+// start of the last wait for a statement and its end.
+type lateConn struct {
+	*net.TCPConn
+	late    atomic.Bool
+	reads   atomic.Int64
+	waiting chan struct{}
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	c.reads.Add(1)
+	return c.TCPConn.Read(b)
+}
+
+func (c *lateConn) SetReadDeadline(at time.Time) error {
+	err := c.TCPConn.SetReadDeadline(at)
+	if wait := time.Until(at); c.late.Load() && wait > 0 {
+		c.waiting <- struct{}{}
+		time.Sleep(wait + 20*time.Millisecond)
+	}
+	return err
+}
+
+// Guards against a stop that closes a session whose next statement has arrived although
+// the time to wait for it has passed: a read after its deadline returns no bytes that are
+// there.
+func TestStopAnswersAStatementThatArrivedDuringTheLastWait(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	var accepted atomic.Pointer[lateConn]
+	w.wrap = func(conn net.Conn) net.Conn {
+		c := &lateConn{TCPConn: conn.(*net.TCPConn), waiting: make(chan struct{}, 1)}
+		accepted.Store(c)
+		return c
+	}
+	w.startHost("host-late", "gondar")
+	w.await(w.hosts[1], "ledger-strict", "READ warm")
+	c := w.session(1, "ledger-strict")
+	late := accepted.Load()
+	reads := late.reads.Load()
+	is.True(strings.HasPrefix(c.query("SET a b"), "COMPLETE"))
+	for late.reads.Load() < reads+1 { // the session waits for the next statement
+		time.Sleep(time.Millisecond)
+	}
+	late.late.Store(true)
+	w.stops[1]()
+	<-late.waiting
+	is.True(strings.HasPrefix(c.query("SET a c"), "COMPLETE"))
+}
