Serve a stopping host's sessions until the load balancer has left it

Cause: a stopping host closed idle sessions from the first moment, and cut the last wait of new ones short, while the load balancer, which chooses a host by the client, still sent their clients back to it for up to 2.5 s. Each came back, was closed after 9 to 50 ms and lost the statement in flight. TestStoppingHostServesUntilTheLoadBalancerLeavesIt fails before.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -94,8 +94,10 @@
 	rateShareInUse, membersChanged bool
 	lastSessionID                  atomic.Uint64
 	openClients                    atomic.Int64
-	stopping                       atomic.Bool
-	open                           sessionSet
+	// stopping reports that the host was told to stop, closing that it also closes its
+	// sessions.
+	stopping, closing atomic.Bool
+	open              sessionSet
 	// logLimit and sampleSeed limit the log lines about requests; see recordAnswer.
 	logLimit   logLimit
 	sampleSeed maphash.Seed
@@ -206,7 +208,7 @@
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if h.stopping.Load() {
+			if h.closing.Load() {
 				return
 			}
 			h.Log.Warn().Err(err).Msg("client connection was not accepted")
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -172,7 +172,7 @@
 // run answers statements until the session ends.
 func (s *session) run() {
 	for {
-		ending := s.transaction == nil && s.host.stopping.Load()
+		ending := s.beginWait()
 		waitTimeout := s.waitTimeout()
 		if ending {
 			waitTimeout = finalReadTimeout
@@ -223,7 +223,17 @@
 	if answer.Failure != nil && answer.Failure.Code == proxy.TooLarge {
 		return true
 	}
-	return s.transaction == nil && s.host.stopping.Load() && !s.clientConn.Buffered()
+	return s.transaction == nil && s.host.closing.Load() && !s.clientConn.Buffered()
+}
+
+// beginWait reports whether the next wait for a statement is the session's last. A last
+// wait is not interrupted.
+func (s *session) beginWait() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ending := s.transaction == nil && s.host.closing.Load()
+	s.interruptSent = s.interruptSent || ending
+	return ending
 }
 
 // waitTimeout returns how long the session waits for its next statement; zero for no
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,43 +7,46 @@
 
 const (
 	// deregistrationDelay is how long the load balancer may take to stop sending new
-	// connections: two probes at intervals of one second, and some delay.
+	// connections: two probes at intervals of one second, and some delay. A session that
+	// is closed before is likely to come back to this host, since the load balancer
+	// chooses a host by the client.
 	deregistrationDelay = 2500 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the host ends.
 	stopMargin = 400 * time.Millisecond
-	// closeInterval is the pause between the closing of two idle sessions, so that
-	// their clients do not all reconnect at the same time.
-	closeInterval = 20 * time.Millisecond
+	// closeSpan is the time over which the closing of idle sessions is spread, and
+	// maxCloseInterval the longest pause between two, so that their clients do not all
+	// reconnect at the same time.
+	closeSpan        = 700 * time.Millisecond
+	maxCloseInterval = 20 * time.Millisecond
 	// finalReadTimeout is how long a session of a stopping host waits for a statement
 	// that the client may already have sent: several round trips to a client.
 	finalReadTimeout = 50 * time.Millisecond
 )
 
-// stop ends the host gracefully: it makes the readiness probe fail, closes sessions
-// when they are between operations, and waits for open transactions.
+// stop ends the host gracefully: it makes the readiness probe fail and serves until the
+// load balancer sends no new connections. Then it closes sessions when they are between
+// operations, and waits for open transactions.
 func (h *Host) stop(listener net.Listener) {
 	start := h.Clock.Now()
 	h.stopping.Store(true)
 	h.Log.Info().Int("sessions", len(h.open.list())).Msg("host stops")
 	end := start.Add(h.Settings.Grace - stopMargin)
-	closed := false
+	time.Sleep(min(deregistrationDelay, h.Settings.Grace/2))
+	h.closing.Store(true)
+	_ = listener.Close()
 	for h.Clock.Now() < end {
-		if !closed && h.Clock.Now().Sub(start) > deregistrationDelay {
-			closed = true
-			_ = listener.Close()
-		}
 		open := h.open.list()
-		if closed && len(open) == 0 {
+		if len(open) == 0 {
 			break
 		}
+		pause := min(closeSpan/time.Duration(len(open)), maxCloseInterval)
 		for _, s := range open {
 			if s.interrupt() {
-				time.Sleep(closeInterval)
+				time.Sleep(pause)
 			}
 		}
 		time.Sleep(tickInterval)
 	}
-	_ = listener.Close()
 	h.Log.Info().Int("sessions", len(h.open.list())).Dur("took", h.Clock.Now().Sub(start)).Msg("host stopped")
 }
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -152,3 +153,25 @@
 	<-late.waiting
 	is.True(strings.HasPrefix(c.query("SET a c"), "COMPLETE"))
 }
+
+// Guards against a stop that closes sessions while the load balancer still sends their
+// clients to this host, which then lose the statement that follows.
+func TestStoppingHostServesUntilTheLoadBalancerLeavesIt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	w.stops[0]()
+	const pause = 200 * time.Millisecond // longer than the last wait for a statement
+	time.Sleep(pause)
+	response, err := http.Get("http://" + w.hosts[0].Ready + "/-/readyz")
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	c := w.session(0, "ledger-strict")
+	for range 3 {
+		time.Sleep(pause)
+		is.True(strings.HasPrefix(c.query("READ a"), "DATAROW"))
+	}
+	_, err = c.ReadLine()
+	is.True(err != nil) // the idle session is closed before the grace time ends
+}
