Finish failovers before a planned stop; let one host begin them

And all hosts began each failover at once, since the rank delay counted from the age of the record, not from when the failover became due. Ruled out: taking over without the wait for the predecessor's requests (two may be in flight). Change: a stopping host comes last in rank and waits for the failovers that it coordinates; ranks differ by group and delay from the moment at which a failover is due. TestStopWaitsForAFailover and TestStoppingHostLeavesFailoversToOthers fail before.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -34,6 +34,8 @@
 	// running counts this host's operations that depend on the primary: writes,
 	// transactions and reads on the primary.
 	running int
+	// dueSince is when this host first found that a failover is due; zero while none is.
+	dueSince proxy.Instant
 	// accepted reports that the host no longer uses the old primary.
 	accepted bool
 	// coordinatorConfirmedAt is when the coordinator last confirmed that it is
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -108,7 +109,7 @@
 	l := cs.leaderships[id]
 	if l == nil {
 		primary := cs.registeredPrimary(id)
-		if primary != "" && cs.registeredAt != 0 && now.Sub(cs.registeredAt) > h.rankDelay() {
+		if primary != "" && cs.registeredAt != 0 && now.Sub(cs.registeredAt) > h.rankDelay(id) {
 			return func(ctx context.Context) { h.createLeadership(ctx, id, primary) }
 		}
 		return nil
@@ -116,7 +117,14 @@
 	groupView := cs.groupView(now, l)
 	groupView.OwnAttemptMissing = l.record.Host == h.Settings.Host
 	reason, due := failover.Decide(groupView)
-	if !due || groupView.RecordAge < h.rankDelay() {
+	if !due {
+		l.dueSince = 0
+		return nil
+	}
+	if l.dueSince == 0 {
+		l.dueSince = now
+	}
+	if !groupView.OwnAttemptMissing && now.Sub(l.dueSince) < h.rankDelay(id) {
 		return nil
 	}
 	a := &failoverAttempt{
@@ -132,19 +140,34 @@
 	return a.run
 }
 
-// rankDelay returns how long this host waits for other hosts to act first. It grows
-// with this host's rank by name among the responding hosts, up to maxRank. The caller
-// holds the lock of the cluster state.
-func (h *Host) rankDelay() time.Duration {
+// rankDelay returns how long this host leaves a failover of a group to others, so that
+// not all hosts write to the store at once. It grows with this host's rank for the group
+// among the responding hosts, up to maxRank. A stopping host comes last, since it may end
+// before the failover does. The caller holds the lock of the cluster state.
+func (h *Host) rankDelay(id proxy.GroupID) time.Duration {
+	if h.stopping.Load() {
+		return (maxRank + 1) * rankStep
+	}
 	rank := 0
-	for id, m := range h.clusterState.members {
-		if id < h.Settings.Host && m.unresponsiveSince == 0 {
+	own := coordinatorRank(id, h.Settings.Host)
+	for other, m := range h.clusterState.members {
+		if m.unresponsiveSince == 0 && coordinatorRank(id, other) < own {
 			rank++
 		}
 	}
 	return time.Duration(min(rank, maxRank)) * rankStep
 }
 
+// coordinatorRank returns a number by which hosts are ordered as coordinators of a
+// group. The order differs by group, so that a lost availability zone seldom holds all
+// hosts that come first.
+func coordinatorRank(id proxy.GroupID, host proxy.HostID) uint64 {
+	hash := fnv.New64a()
+	// Write never returns an error.
+	_, _ = hash.Write([]byte(string(id) + "/" + string(host)))
+	return hash.Sum64()
+}
+
 // registeredPrimary returns the instance of a group that is registered as its primary;
 // empty if there is none or more than one.
 func (s *clusterState) registeredPrimary(id proxy.GroupID) proxy.InstanceID {
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -49,6 +49,8 @@
 // run writes the record that begins the failover and coordinates it to its end.
 func (a *failoverAttempt) run(ctx context.Context) {
 	h := a.host
+	h.failoverAttempts.Add(1)
+	defer h.failoverAttempts.Add(-1)
 	if a.reason == failover.Unreachable && h.probe(a.record.Primary) {
 		return
 	}
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -40,9 +41,13 @@
 	stops []func()
 	// wrap wraps the connections that hosts accept; nil to use them unchanged.
 	wrap func(net.Conn) net.Conn
-	// store is the address where hosts started from now on reach the store; empty for
-	// the store itself.
-	store string
+	// store and orders are the addresses where hosts started from now on reach the store
+	// and the promote call; empty for the emulated ones themselves.
+	store, orders string
+	// grace is the grace time of hosts started from now on.
+	grace time.Duration
+	// ended holds a channel for each host on which the result of its Run is sent.
+	ended []chan error
 }
 
 func start(t *testing.T, hosts int) *testDeployment {
@@ -53,7 +58,7 @@
 	is.NoErr(err)
 	t.Cleanup(stop)
 	is.NoErr(d.Configure(1, tenants))
-	w := &testDeployment{Deployment: d, t: t}
+	w := &testDeployment{Deployment: d, t: t, grace: 3 * time.Second}
 	for n := range hosts {
 		w.startHost(fmt.Sprintf("host-%d", n), zones[n%2])
 	}
@@ -72,11 +77,9 @@
 	s := entry.Settings{
 		Host: proxy.HostID(name), Zone: proxy.Zone(zone), Listen: addresses[0], Ready: addresses[1],
 		Peer: netip.MustParseAddrPort(addresses[2]), Store: w.StoreAddress, Orders: w.PromotionAddress,
-		Withdrawal: 5 * time.Second, Drain: 7 * time.Second, Grace: 3 * time.Second,
-	}
-	if w.store != "" {
-		s.Store = w.store
+		Withdrawal: 5 * time.Second, Drain: 7 * time.Second, Grace: w.grace,
 	}
+	s.Store, s.Orders = cmp.Or(w.store, s.Store), cmp.Or(w.orders, s.Orders)
 	is.NoErr(s.Validate())
 	store, closeStore := platform.NewStore(s.Store)
 	promoter, closePromoter := platform.NewPromotionClient(s.Orders)
@@ -92,8 +95,13 @@
 		Metrics: entry.NewMetrics(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- host.Run(ctx) }()
+	ended := make(chan error, 2)
+	w.ended = append(w.ended, ended)
+	go func() {
+		err := host.Run(ctx)
+		ended <- err
+		ended <- err
+	}()
 	w.hosts = append(w.hosts, s)
 	w.stops = append(w.stops, cancel)
 	w.t.Cleanup(func() {
@@ -197,6 +205,26 @@
 	}
 }
 
+// awaitLeadership waits until the leadership record of the first group contains a text.
+func (w *testDeployment) awaitLeadership(text string) {
+	w.t.Helper()
+	is := is.New(w.t)
+	store, closeStore := platform.NewStore(w.StoreAddress)
+	defer closeStore()
+	listing, err := store.List(context.Background(), "groups")
+	is.NoErr(err)
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); {
+		for _, record := range listing.Records {
+			if record.Name == w.Groups[0].Name && strings.Contains(string(record.Spec), text) {
+				return
+			}
+		}
+		listing, err = store.Watch(context.Background(), "groups", listing.Version, time.Second)
+		is.NoErr(err)
+	}
+	w.t.Fatalf("leadership record of %s never contained %q", w.Groups[0].Name, text)
+}
+
 func (w *testDeployment) session(host int, database string) *client {
 	w.t.Helper()
 	is := is.New(w.t)
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -25,7 +25,8 @@
 
 // stop ends the host gracefully: it makes the readiness probe fail and serves until the
 // load balancer sends no new connections. Then it closes sessions when they are between
-// operations, and waits for open transactions.
+// operations, and waits for open transactions and for the failovers that it coordinates,
+// since another host would only take them over after a time.
 func (h *Host) stop(listener net.Listener) {
 	start := h.Clock.Now()
 	h.stopping.Store(true)
@@ -36,10 +37,10 @@
 	_ = listener.Close()
 	for h.Clock.Now() < end {
 		open := h.open.list()
-		if len(open) == 0 {
+		if len(open) == 0 && h.failoverAttempts.Load() == 0 {
 			break
 		}
-		pause := min(closeSpan/time.Duration(len(open)), maxCloseInterval)
+		pause := min(closeSpan/time.Duration(len(open)+1), maxCloseInterval)
 		for _, s := range open {
 			if s.interrupt() {
 				time.Sleep(pause)
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/auburnyoke/auburnyoke/internal/soak"
 )
 
 // Guards against a graceful stop that interrupts an open transaction.
@@ -175,3 +177,39 @@
 	_, err = c.ReadLine()
 	is.True(err != nil) // the idle session is closed before the grace time ends
 }
+
+// Guards against a planned stop that leaves a group without a primary: of a host that
+// begins a failover although another host could, and of one that is in the middle of it.
+func TestStopWaitsForAFailover(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 0)
+	w.grace = 8 * time.Second
+	relay, stop, err := soak.StartRelay("127.0.0.1:0", w.PromotionAddress)
+	is.NoErr(err)
+	t.Cleanup(stop)
+	w.orders = relay.Address()
+	w.startHost("host-0", "gondar")
+	w.await(w.hosts[0], "ledger-strict", "READ warm")
+	relay.SetMode(soak.DropBoth)
+	old := w.Groups[0].Primary()
+	w.Groups[0].Drain(old)
+	w.awaitLeadership("replacing")
+	w.stops[0]()
+	time.Sleep(w.grace / 2) // no session is open, and new connections are refused
+	relay.SetMode(soak.Healthy)
+	is.NoErr(<-w.ended[0])
+	w.awaitLeadership("settled")
+	is.True(w.Groups[0].Primary() != old)
+}
+
+// Guards against a failover that a stopping host begins, and would have to finish before
+// it ends, although another host is there.
+func TestStoppingHostLeavesFailoversToOthers(t *testing.T) {
+	t.Parallel()
+	w := start(t, 2)
+	w.stops[0]()
+	w.Groups[0].Drain(w.Groups[0].Primary())
+	w.awaitLeadership(`"host":"host-1"`)
+	w.awaitLeadership("settled")
+}
