Split answers of the store into objects before their content is decoded

Cause: a page or a watch's answer was decoded as one value, so one object of another writer (nested above 10,000 levels, a revision out of range, metadata of another type) ended every listing: a host that started learned of no instance, and no host saw another change. A configuration with one route or account that could not be served was refused whole, and all hosts stopped serving 5 s later. A name such as ../config/main led a removal to an object of another kind, and one with a line break would have become a message to an instance.

--- a/internal/emulator/deployment/store.go
+++ b/internal/emulator/deployment/store.go
@@ -1,10 +1,13 @@
 package deployment
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,11 +36,26 @@
 	Spec json.RawMessage `json:"spec"`
 }
 
+// encoded returns the object as the store sends it. The content is not checked, as it may
+// come from a writer that writes anything.
+func (o object) encoded() []byte {
+	name, err := json.Marshal(o.Meta.Name)
+	if err != nil {
+		// Encoding a string cannot fail.
+		panic(err)
+	}
+	return fmt.Appendf(nil, `{"meta":{"name":%s,"revision":%d},"spec":%s}`, name, o.Meta.Revision, o.Spec)
+}
+
 type change struct {
 	kind     string
 	revision uint64
-	Object   object `json:"object"`
-	Deleted  bool   `json:"deleted"`
+	object   object
+	deleted  bool
+}
+
+func (c change) encoded() []byte {
+	return fmt.Appendf(nil, `{"object":%s,"deleted":%t}`, c.object.encoded(), c.deleted)
 }
 
 // NewStore returns an empty store.
@@ -84,6 +102,13 @@
 	return nil
 }
 
+// PutRaw writes an object with a spec that is not checked, as another writer does.
+func (s *Store) PutRaw(kind, name string, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, spec)
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -99,7 +124,7 @@
 	o := &object{Spec: spec}
 	o.Meta.Name, o.Meta.Revision = name, s.revision
 	s.kinds[kind][name] = o
-	s.changes = append(s.changes, change{kind: kind, revision: s.revision, Object: *o})
+	s.changes = append(s.changes, change{kind: kind, revision: s.revision, object: *o})
 	s.wakeWatchers()
 	return *o
 }
@@ -111,7 +136,7 @@
 	}
 	delete(s.kinds[kind], name)
 	s.revision++
-	s.changes = append(s.changes, change{kind: kind, revision: s.revision, Object: *o, Deleted: true})
+	s.changes = append(s.changes, change{kind: kind, revision: s.revision, object: *o, deleted: true})
 	s.wakeWatchers()
 }
 
@@ -140,11 +165,13 @@
 	})
 }
 
-func respond(w http.ResponseWriter, status int, body any) {
+func respond(w http.ResponseWriter, body []byte) { respondWith(w, http.StatusOK, body) }
+
+func respondWith(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// An error means that the client has disconnected.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
 
 func (s *Store) listOrWatch(w http.ResponseWriter, r *http.Request) {
@@ -154,19 +181,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []object{}
+	var items []*object
 	for _, o := range s.kinds[r.PathValue("kind")] {
 		if o.Meta.Name > r.URL.Query().Get("after") {
-			items = append(items, *o)
+			items = append(items, o)
 		}
 	}
-	slices.SortFunc(items, func(a, b object) int {
-		if a.Meta.Name < b.Meta.Name {
-			return -1
-		}
-		return 1
-	})
-	respond(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "current_rev": s.revision})
+	slices.SortFunc(items, func(a, b *object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	var encoded [][]byte
+	for _, o := range items {
+		encoded = append(encoded, o.encoded())
+	}
+	respond(w, fmt.Appendf(nil, `{"items":[%s],"has_more":false,"current_rev":%d}`,
+		bytes.Join(encoded, []byte(",")), s.revision))
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -177,7 +204,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	respond(w, http.StatusOK, o)
+	respond(w, o.encoded())
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -198,10 +225,10 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		events := []change{}
+		var events [][]byte
 		for _, c := range s.changes {
 			if c.kind == r.PathValue("kind") && c.revision > after {
-				events = append(events, c)
+				events = append(events, c.encoded())
 			}
 		}
 		changed, revision, down, held := s.changed, s.revision, s.down, s.held
@@ -211,7 +238,7 @@
 			return
 		}
 		if !held && (len(events) > 0 || expired) {
-			respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			respond(w, fmt.Appendf(nil, `{"events":[%s],"current_rev":%d}`, bytes.Join(events, []byte(",")), revision))
 			return
 		}
 		select {
@@ -233,10 +260,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.kinds[r.PathValue("kind")][o.Meta.Name]; old != nil {
-		respond(w, http.StatusConflict, old)
+		respondWith(w, http.StatusConflict, old.encoded())
 		return
 	}
-	respond(w, http.StatusOK, s.write(r.PathValue("kind"), o.Meta.Name, o.Spec))
+	respond(w, s.write(r.PathValue("kind"), o.Meta.Name, o.Spec).encoded())
 }
 
 func (s *Store) replace(w http.ResponseWriter, r *http.Request) {
@@ -252,9 +279,9 @@
 	case old == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case o.Meta.Revision != 0 && o.Meta.Revision != old.Meta.Revision:
-		respond(w, http.StatusConflict, old)
+		respondWith(w, http.StatusConflict, old.encoded())
 	default:
-		respond(w, http.StatusOK, s.write(r.PathValue("kind"), r.PathValue("name"), o.Spec))
+		respond(w, s.write(r.PathValue("kind"), r.PathValue("name"), o.Spec).encoded())
 	}
 }
 
@@ -267,9 +294,9 @@
 	case old == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case expected != "" && expected != strconv.FormatUint(old.Meta.Revision, 10):
-		respond(w, http.StatusConflict, old)
+		respondWith(w, http.StatusConflict, old.encoded())
 	default:
 		s.remove(r.PathValue("kind"), r.PathValue("name"))
-		respond(w, http.StatusOK, old)
+		respond(w, old.encoded())
 	}
 }
--- a/pkg/proxy/directory/directory.go
+++ b/pkg/proxy/directory/directory.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/rotisserie/eris"
 
@@ -75,10 +77,16 @@
 	Accounts map[proxy.AccountID]Account
 	// Keys maps each client key to its account.
 	Keys map[string]proxy.AccountID
+	// Problems describes the routes, groups and accounts that were left out because they
+	// cannot be read or served.
+	Problems []string
 }
 
 // Validate reports the first setting that cannot be served.
 func (c *Configuration) Validate() error {
+	if c.Revision == 0 {
+		return eris.New("configuration without a revision")
+	}
 	if c.TransactionIdle < 0 {
 		return eris.Errorf("transaction idle time %v is negative", c.TransactionIdle)
 	}
@@ -86,26 +94,59 @@
 		if database == "" {
 			return eris.New("route without a database")
 		}
-		if r.Timeout <= 0 || r.Goal <= 0 || r.MaxStaleness < 0 {
-			return eris.Errorf("route %s: timeout %v, goal %v or maximum staleness %v is out of range", r.ID, r.Timeout, r.Goal, r.MaxStaleness)
+		if err := r.Validate(); err != nil {
+			return err
 		}
 		if _, ok := c.Groups[r.Group]; !ok {
 			return eris.Errorf("route %s: unknown group %s", r.ID, r.Group)
 		}
 	}
 	for _, g := range c.Groups {
-		if g.Connections < 1 || g.Synchronous < 0 {
-			return eris.Errorf("group %s: %d connections, %d synchronous replicas", g.ID, g.Connections, g.Synchronous)
+		if err := g.Validate(); err != nil {
+			return err
 		}
 	}
 	for _, a := range c.Accounts {
-		if a.Rate < 0 || a.Burst < 0 {
-			return eris.Errorf("account %s: rate %v or burst %v is negative", a.ID, a.Rate, a.Burst)
+		if err := a.Validate(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// Validate returns an error if the route cannot be served.
+func (r Route) Validate() error {
+	if r.Consistency < Strict || r.Consistency > OwnWrites {
+		return eris.Errorf("route %s: unknown consistency %d", r.ID, r.Consistency)
+	}
+	if r.Timeout <= 0 || r.Goal <= 0 || r.MaxStaleness < 0 {
+		return eris.Errorf("route %s: timeout %v, goal %v or maximum staleness %v is out of range", r.ID, r.Timeout, r.Goal, r.MaxStaleness)
+	}
+	return nil
+}
+
+// Validate returns an error if the group cannot be served.
+func (g Group) Validate() error {
+	if err := validateName(string(g.ID)); err != nil {
+		return fmt.Errorf("group: %w", err)
+	}
+	if g.Connections < 1 || g.Synchronous < 0 {
+		return eris.Errorf("group %s: %d connections, %d synchronous replicas", g.ID, g.Connections, g.Synchronous)
+	}
+	return nil
+}
+
+// Validate returns an error if the account cannot be served.
+func (a Account) Validate() error {
+	if err := validateName(string(a.ID)); err != nil {
+		return fmt.Errorf("account: %w", err)
+	}
+	if !(a.Rate >= 0) || !(a.Burst >= 0) {
+		return eris.Errorf("account %s: rate %v or burst %v is negative", a.ID, a.Rate, a.Burst)
+	}
+	return nil
+}
+
 // Instance is a registered instance of a database group.
 type Instance struct {
 	ID    proxy.InstanceID
@@ -123,16 +164,41 @@
 	Born int64
 }
 
+// Limits of an instance's entry. An entry beyond them is not written by an instance.
+const (
+	// maxNameLength is the largest length of an id or name, in bytes.
+	maxNameLength = 255
+	maxSlots      = 10_000
+)
+
 // Validate returns an error if the instance's entry cannot be used.
 func (i Instance) Validate() error {
-	if i.ID == "" || i.Group == "" {
-		return eris.New("instance without id or group")
+	for what, name := range map[string]string{"id": string(i.ID), "group": string(i.Group)} {
+		if err := validateName(name); err != nil {
+			return fmt.Errorf("%s of the instance: %w", what, err)
+		}
 	}
-	if _, err := netip.ParseAddrPort(i.Address); err != nil {
+	address, err := netip.ParseAddrPort(i.Address)
+	if err != nil {
 		return fmt.Errorf("address of instance %s: %w", i.ID, err)
 	}
-	if i.Slots < 1 {
-		return eris.Errorf("instance %s has %d slots", i.ID, i.Slots)
+	if !address.Addr().Is4() || address.Addr().IsUnspecified() || address.Port() == 0 {
+		return eris.Errorf("address %s of instance %s is no IPv4 address and port of a host", i.Address, i.ID)
+	}
+	if i.Slots < 1 || i.Slots > maxSlots {
+		return eris.Errorf("instance %s has %d slots: want 1 to %d", i.ID, i.Slots, maxSlots)
+	}
+	return nil
+}
+
+// validateName checks a name that becomes a field of a message to an instance, where a
+// blank or a line break would begin another field or message.
+func validateName(name string) error {
+	if name == "" || len(name) > maxNameLength {
+		return eris.Errorf("name %.40q has %d bytes: want 1 to %d", name, len(name), maxNameLength)
+	}
+	if strings.ContainsFunc(name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }) {
+		return eris.Errorf("name %.40q contains a blank or a control character", name)
 	}
 	return nil
 }
--- a/pkg/proxy/records.go
+++ b/pkg/proxy/records.go
@@ -24,6 +24,14 @@
 type Listing struct {
 	Records []Record
 	Version Version
+	// Unreadable lists the objects whose metadata cannot be read. Those with a name are
+	// in Records too, as far as they could be read.
+	Unreadable []Unreadable
+}
+
+// Unreadable is an object that cannot be read. Name is empty if it has none.
+type Unreadable struct {
+	Name, Reason string
 }
 
 // Errors of a RecordStore. After any other error of Write or Remove, the call may
