Let an unusable object cost itself only, in every kind that hosts read

Cause: further in, one unreadable leadership record kept the leases of all groups from being confirmed; an unreadable entry of a host was counted for good and never asked; a second entry that claims the role of the primary kept a group from getting its first record. Change: a group whose record cannot be read has no primary until a host has replaced the record, and keeps the instance that leads; unreadable hosts are removed after the time of lost ones, and a host whose own entry was overwritten registers again; claims of the role are settled by asking the instances. Each unusable object is logged once a change, counted and shown as a gauge. The soak has a writer that leaves odd objects and overwrites entries and records, with a random source of its own.

--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -247,6 +247,29 @@
 	return ids
 }
 
+// Refresh writes the entry of an instance again, as instances do regularly.
+func (g *Group) Refresh(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID == id {
+			g.register(i)
+		}
+	}
+}
+
+// Address returns the address of an instance, or an empty string if it is unknown.
+func (g *Group) Address(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID == id {
+			return i.Address
+		}
+	}
+	return ""
+}
+
 // Restart restarts an instance that has crashed or left, with its log. If another instance was
 // promoted in the meantime, the instance returns as a replica.
 func (g *Group) Restart(id string) {
--- a/internal/emulator/deployment/store.go
+++ b/internal/emulator/deployment/store.go
@@ -109,6 +109,13 @@
 	s.write(kind, name, spec)
 }
 
+// Has reports whether an object exists.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kinds[kind][name] != nil
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
@@ -108,9 +109,9 @@
 	}
 	l := cs.leaderships[id]
 	if l == nil {
-		primary := cs.registeredPrimary(id)
-		if primary != "" && cs.registeredAt != 0 && now.Sub(cs.registeredAt) > h.rankDelay(id) {
-			return func(ctx context.Context) { h.createLeadership(ctx, id, primary) }
+		candidates := cs.registeredPrimaries(id)
+		if len(candidates) > 0 && cs.registeredAt != 0 && now.Sub(cs.registeredAt) > h.rankDelay(id) {
+			return func(ctx context.Context) { h.createLeadership(ctx, id, candidates) }
 		}
 		return nil
 	}
@@ -127,11 +128,18 @@
 	if !groupView.OwnAttemptMissing && now.Sub(l.dueSince) < h.rankDelay(id) {
 		return nil
 	}
+	primary := l.record.Primary
+	if candidates := cs.registeredPrimaries(id); primary == "" && len(candidates) > 0 {
+		primary = candidates[0].ID
+	}
+	if primary == "" {
+		return nil
+	}
 	a := &failoverAttempt{
 		host: h, group: id, reason: reason, baseVersion: l.version,
-		takenOver: l.record.Phase == failover.Replacing,
+		takenOver: l.record.Phase != failover.Settled,
 		record: failover.Record{
-			Primary: l.record.Primary,
+			Primary: primary,
 			Phase:   failover.Replacing,
 			Host:    h.Settings.Host,
 			Planned: reason == failover.Leaving,
@@ -168,18 +176,14 @@
 	return hash.Sum64()
 }
 
-// registeredPrimary returns the instance of a group that is registered as its primary;
-// empty if there is none or more than one.
-func (s *clusterState) registeredPrimary(id proxy.GroupID) proxy.InstanceID {
-	found := proxy.InstanceID("")
+// registeredPrimaries returns the instances of a group that are registered as its
+// primary. Several may be, since one of the entries may not be its instance's.
+func (s *clusterState) registeredPrimaries(id proxy.GroupID) []directory.Instance {
+	var found []directory.Instance
 	for _, i := range s.instances {
-		if i.Group != id || !i.Primary || i.missingSince != 0 {
-			continue
+		if i.Group == id && i.Primary && i.missingSince == 0 {
+			found = append(found, i.Instance)
 		}
-		if found != "" {
-			return ""
-		}
-		found = i.ID
 	}
 	return found
 }
@@ -207,8 +211,16 @@
 	return v
 }
 
-// createLeadership writes a group's first leadership record.
-func (h *Host) createLeadership(ctx context.Context, id proxy.GroupID, primary proxy.InstanceID) {
+// createLeadership writes a group's first leadership record. The candidates are the
+// instances that are registered as the primary; if there are several, they are asked.
+func (h *Host) createLeadership(ctx context.Context, id proxy.GroupID, candidates []directory.Instance) {
+	primary := candidates[0].ID
+	if len(candidates) > 1 {
+		var ok bool
+		if primary, ok = failover.CurrentPrimary(h.inspectAll(candidates)); !ok {
+			return
+		}
+	}
 	record := failover.Record{Primary: primary, Phase: failover.Settled}
 	written, err := h.Store.Write(ctx, leadershipKind, string(id), record, 0)
 	if err != nil {
--- a/internal/entry/doc.go
+++ b/internal/entry/doc.go
@@ -4,5 +4,5 @@
 // Package platform translates the platform's formats and protocols for it.
 //
 // Locks are taken in this order: Host.applying, clusterState.mu, then the locks of
-// the dispatch and allowance tables.
+// the dispatch and allowance tables and of rejectedRecords.
 package entry
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -75,17 +75,23 @@
 }
 
 // coordinate retires the old primary, has a successor promoted, and records it. It
-// returns the new primary.
+// returns the new primary. If only the record was overwritten, the old primary may remain.
 func (a *failoverAttempt) coordinate(ctx context.Context) (proxy.InstanceID, error) {
 	if err := a.awaitRetirement(ctx); err != nil {
 		return "", err
 	}
-	finalPosition := a.stepDown()
+	overwritten := a.reason == failover.Overwritten
+	var finalPosition *proxy.Bookmark
+	if !overwritten {
+		finalPosition = a.stepDown()
+	}
 	for a.mayContinue() {
 		instances := a.host.clusterState.groupInstances(a.group)
 		statuses := a.host.inspectAll(instances)
 		primary, ok := failover.CurrentPrimary(statuses)
-		if ok && primary != a.record.Primary && (primary == a.promoting || !a.promotionPending()) {
+		// A newer term is known to most instances, if not to the old primary.
+		kept := overwritten && 2*len(statuses) > len(instances)
+		if ok && (primary != a.record.Primary || kept) && (primary == a.promoting || !a.promotionPending()) {
 			return primary, a.recordPrimary(ctx, primary)
 		}
 		if target, ok := a.target(instances, statuses, finalPosition); ok {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -122,7 +122,11 @@
 // first to this host's state, then to the mirror, which serves the host's own
 // followers.
 func (f *follower) apply(confirmedAt proxy.Instant, listing proxy.Listing, snapshot bool, hops int) {
+	for _, u := range listing.Unreadable {
+		f.host.rejected.add(f.kind, u.Name, 0, u.Reason)
+	}
 	if snapshot {
+		f.host.rejected.retain(f.kind, listing)
 		f.applySnapshot(confirmedAt, listing.Records)
 		f.mirror.applySnapshot(confirmedAt, listing, hops)
 	} else {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -84,6 +84,7 @@
 	mirrors        map[proxy.Kind]*mirror
 	excludedRelays map[proxy.HostID]proxy.Instant
 	relayClient    *http.Client
+	rejected       rejectedRecords
 	// applying is held while the cluster state is passed to the tables, so that an
 	// older state never overwrites a newer one. It is locked before the cluster
 	// state.
@@ -140,6 +141,7 @@
 	h.incarnation = incarnation
 	h.sampleSeed = maphash.MakeSeed()
 	h.clusterState = newClusterState()
+	h.rejected.log, h.rejected.metrics = h.Log, h.Metrics
 	h.open.sessions = make(map[*session]struct{})
 	h.table = &dispatch.Table{Zone: h.Settings.Zone}
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandoverDelay: joinWait}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -154,13 +154,15 @@
 		changed = h.recordMemberLocked(proxy.HostID(record.Name), record) || changed
 	}
 	h.membersChanged = h.membersChanged || changed
-	_, present := cs.members[h.Settings.Host]
+	own := cs.members[h.Settings.Host]
 	hosts := len(cs.members)
 	cs.mu.Unlock()
 	if changed {
 		h.Log.Info().Int("hosts", hosts).Msg("hosts changed")
 	}
-	if !present && cs.leadershipConfirmedAt != 0 && confirmedAt > cs.registeredAt {
+	// Another host may have removed the entry, or another writer overwritten it.
+	registered := own != nil && own.entry.Address == h.Settings.Peer.String()
+	if !registered && cs.leadershipConfirmedAt != 0 && confirmedAt > cs.registeredAt {
 		h.rejoin()
 	}
 }
@@ -170,6 +172,7 @@
 func (h *Host) recordMemberLocked(id proxy.HostID, record proxy.Record) bool {
 	known := h.clusterState.members[id]
 	if record.Deleted {
+		h.rejected.remove(memberKind, record.Name)
 		delete(h.clusterState.members, id)
 		return known != nil
 	}
@@ -179,15 +182,17 @@
 	entry, err := decodeHostEntry(record)
 	if err != nil {
 		// The host is counted anyway, since it may use its share of the rates.
-		h.Log.Warn().Err(err).Str("entry", record.Name).Msg("host entry is not readable")
+		h.rejected.add(memberKind, record.Name, record.Version, err.Error())
+	} else {
+		h.rejected.remove(memberKind, record.Name)
 	}
 	h.clusterState.members[id] = &member{entry: entry, version: record.Version}
 	return true
 }
 
-// rejoin registers the host again after another host has removed its entry.
+// rejoin registers the host again after its entry was removed or overwritten.
 func (h *Host) rejoin() {
-	h.Log.Warn().Msg("entry of this host was removed")
+	h.Log.Warn().Msg("entry of this host was removed or overwritten")
 	cs := h.clusterState
 	cs.mu.Lock()
 	cs.registeredAt, cs.countedFrom = 0, 0
@@ -217,19 +222,20 @@
 // hosts.
 func (h *Host) checkMembers(ctx context.Context) {
 	for timing.Sleep(ctx, checkInterval) {
-		peer, ok := h.memberToCheck()
-		if !ok {
+		id, peer, ok := h.memberToCheck()
+		if id == "" {
 			continue
 		}
-		answers := h.peerEndpoint.QueryStates(ctx, []peering.Peer{peer}, nil, checkTimeout)
-		if lost := h.recordCheck(peer.Host, len(answers) > 0); lost.Version != 0 {
+		answered := ok && len(h.peerEndpoint.QueryStates(ctx, []peering.Peer{peer}, nil, checkTimeout)) > 0
+		if lost := h.recordCheck(id, answered); lost.Version != 0 {
 			h.removeMember(ctx, lost)
 		}
 	}
 }
 
-// memberToCheck returns an unresponsive host, or any other host if all respond.
-func (h *Host) memberToCheck() (peering.Peer, bool) {
+// memberToCheck returns an unresponsive host, or any other host if all respond. It
+// returns false if the host's entry has no address, and an empty ID if there is no host.
+func (h *Host) memberToCheck() (proxy.HostID, peering.Peer, bool) {
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -245,9 +251,10 @@
 		}
 	}
 	if chosen == "" {
-		return peering.Peer{}, false
+		return "", peering.Peer{}, false
 	}
-	return cs.members[chosen].peer(chosen)
+	peer, ok := cs.members[chosen].peer(chosen)
+	return chosen, peer, ok
 }
 
 // recordCheck records whether a host has answered. If the host is lost and the store
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,6 +27,7 @@
 	gaugeWaiting          = "statements.waiting"
 	gaugeRunning          = "statements.running"
 	gaugeConnections      = "connections.open"
+	gaugeUnusable         = "records.unusable"
 )
 
 // Metrics are a host's counters and histograms.
@@ -34,7 +35,7 @@
 	Registry metrics.Registry
 
 	served, connectionOpened, connectionFull, connectionBroken,
-	retried, unlogged, storeReads metrics.Counter
+	retried, unlogged, storeReads, recordsRejected metrics.Counter
 	codes         map[proxy.Code]metrics.Counter
 	instanceCodes map[proxy.Code]metrics.Counter
 	latency       metrics.Histogram
@@ -58,6 +59,7 @@
 		"statements.retried": &m.retried,
 		"log.unlogged":       &m.unlogged,
 		"store.reads":        &m.storeReads,
+		"records.rejected":   &m.recordsRejected,
 	} {
 		*counter = metrics.NewCounter()
 		m.register(name, *counter)
@@ -72,6 +74,7 @@
 	for _, name := range []string{
 		gaugeConfigurationAge, gaugeLeadershipAge, gaugeRevision, gaugeHosts, gaugeInstances,
 		gaugeLeaderless, gaugeSessions, gaugeWaiting, gaugeRunning, gaugeConnections,
+		gaugeUnusable,
 	} {
 		m.gauges[name] = metrics.NewGauge()
 		m.register(name, m.gauges[name])
@@ -108,6 +111,7 @@
 	set(gaugeRunning, running)
 	set(gaugeConnections, open)
 	set(gaugeSessions, len(h.open.list()))
+	set(gaugeUnusable, h.rejected.count())
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -218,7 +218,7 @@
 	defer m.mu.Unlock()
 	records := make([]proxy.Record, 0, len(changes))
 	for _, c := range changes {
-		record, err := c.decode(m.records[c.Name])
+		record, err := c.Decode(m.records[c.Name])
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -143,14 +143,7 @@
 	if err != nil {
 		return RelayResponse{}, fmt.Errorf("read relay response: %w", err)
 	}
-	var answer RelayResponse
-	if err := cbor.Unmarshal(data, &answer); err != nil {
-		return RelayResponse{}, fmt.Errorf("decode relay response: %w", err)
-	}
-	if err := answer.Validate(); err != nil {
-		return RelayResponse{}, fmt.Errorf("relay response: %w", err)
-	}
-	return answer, nil
+	return DecodeRelayResponse(data)
 }
 
 // serveRelay serves the followers of this host until the returned function is called.
--- a/internal/entry/relay_message.go
+++ b/internal/entry/relay_message.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/auburnyoke/auburnyoke/internal/peering"
@@ -29,6 +30,18 @@
 	Hops int `cbor:"5,keyasint,omitempty"`
 }
 
+// DecodeRelayResponse decodes a response that came from another host.
+func DecodeRelayResponse(data []byte) (RelayResponse, error) {
+	var r RelayResponse
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("decode relay response: %w", err)
+	}
+	if err := r.Validate(); err != nil {
+		return r, fmt.Errorf("relay response: %w", err)
+	}
+	return r, nil
+}
+
 // Validate checks a response that came from another host.
 func (r RelayResponse) Validate() error {
 	if r.Hops < 0 {
@@ -60,9 +73,9 @@
 // have.
 var errUnknownBase = eris.New("base version of the change is not known")
 
-// decode returns the record after the change. Known is the follower's record of the
+// Decode returns the record after the change. Known is the follower's record of the
 // object, used as the base for decompression.
-func (c Change) decode(known proxy.Record) (proxy.Record, error) {
+func (c Change) Decode(known proxy.Record) (proxy.Record, error) {
 	record := proxy.Record{Name: c.Name, Version: c.Version, Deleted: c.Deleted, Spec: c.Spec}
 	switch {
 	case c.Compressed == nil:
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -38,6 +39,9 @@
 	maxResumeAge = 800 * time.Millisecond
 )
 
+// configurationName is the name of the object that holds the configuration.
+const configurationName = "main"
+
 func (h *Host) followConfiguration(ctx context.Context) {
 	f := h.newFollower(h.Decode.ConfigurationKind, confirmationWait)
 	f.applySnapshot = h.applyConfiguration
@@ -50,16 +54,21 @@
 func (h *Host) applyConfiguration(confirmedAt proxy.Instant, records []proxy.Record) {
 	changed := false
 	for _, record := range records {
-		if record.Name != "main" || record.Deleted {
+		if record.Name != configurationName || record.Deleted {
 			continue
 		}
 		c, err := h.Decode.Configuration(record.Spec)
 		if err != nil {
 			// Without the newest version, nothing confirms that the keys are still
 			// valid.
-			h.Log.Error().Err(err).Uint64("version", uint64(record.Version)).Msg("configuration is not readable")
+			h.rejected.add(h.Decode.ConfigurationKind, record.Name, record.Version, err.Error())
 			return
 		}
+		h.rejected.remove(h.Decode.ConfigurationKind, record.Name)
+		for n, problem := range c.Problems {
+			// Each part has an entry of its own beside that of the object.
+			h.rejected.add(h.Decode.ConfigurationKind, fmt.Sprintf("%s#%d", record.Name, n), record.Version, problem)
+		}
 		changed = h.activateConfiguration(c) || changed
 	}
 	h.clusterState.mu.Lock()
@@ -96,21 +105,18 @@
 }
 
 // applyLeaderships records changed leadership records and when they were confirmed to
-// be current. A record that cannot be decoded leaves the confirmation unchanged, so
-// that the host's lease expires.
+// be current. A group whose record cannot be decoded has no primary until a host has
+// replaced the record.
 func (h *Host) applyLeaderships(confirmedAt proxy.Instant, records []proxy.Record) {
 	for _, record := range records {
 		if record.Deleted {
 			continue
 		}
-		var r failover.Record
-		err := json.Unmarshal(record.Spec, &r)
-		if err == nil {
-			err = r.Validate()
-		}
+		r, err := decodeLeadership(record.Spec)
 		if err != nil {
-			h.Log.Error().Err(err).Str("group", record.Name).Msg("leadership is not readable")
-			return
+			h.rejected.add(leadershipKind, record.Name, record.Version, err.Error())
+		} else {
+			h.rejected.remove(leadershipKind, record.Name)
 		}
 		h.recordLeadership(proxy.GroupID(record.Name), r, record.Version)
 	}
@@ -122,8 +128,23 @@
 	}
 }
 
+// decodeLeadership decodes a leadership record. After an error, the record is
+// failover.Unreadable.
+func decodeLeadership(spec []byte) (failover.Record, error) {
+	var r failover.Record
+	err := json.Unmarshal(spec, &r)
+	if err == nil {
+		err = r.Validate()
+	}
+	if err != nil {
+		return failover.Record{Phase: failover.Unreadable}, fmt.Errorf("decode leadership record: %w", err)
+	}
+	return r, nil
+}
+
 // recordLeadership records a version of a group's leadership record and reports
-// whether it is new.
+// whether it is new. The primary of an unreadable record is the one that was known
+// before.
 func (h *Host) recordLeadership(id proxy.GroupID, r failover.Record, version proxy.Version) bool {
 	cs := h.clusterState
 	cs.mu.Lock()
@@ -134,6 +155,9 @@
 	}
 	l := &leadership{record: r, version: version, receivedAt: h.Clock.Now()}
 	if old != nil {
+		if r.Phase == failover.Unreadable {
+			l.record.Primary = old.record.Primary
+		}
 		l.running = old.running
 		l.baseVersion, l.failoverStart = old.version, l.receivedAt
 		if old.record.Phase == failover.Replacing {
@@ -210,6 +234,7 @@
 		return
 	}
 	if record.Deleted {
+		h.rejected.remove(h.Decode.InstanceKind, record.Name)
 		if known != nil && known.missingSince == 0 {
 			known.missingSince = now
 			h.Log.Info().Str("instance", string(id)).Str("group", string(known.Group)).Msg("instance is missing")
@@ -218,12 +243,13 @@
 	}
 	i, err := h.Decode.Instance(record.Name, record.Spec)
 	if err != nil {
-		h.Log.Warn().Err(err).Msg("entry of an instance is not usable")
+		h.rejected.add(h.Decode.InstanceKind, record.Name, record.Version, err.Error())
 		if known != nil && known.missingSince == 0 {
 			known.missingSince = now
 		}
 		return
 	}
+	h.rejected.remove(h.Decode.InstanceKind, record.Name)
 	entry := &registeredInstance{Instance: i, version: record.Version}
 	if known != nil {
 		entry.leavingSince, entry.demotedSince = known.leavingSince, known.demotedSince
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -29,7 +29,7 @@
 	announcements chan peering.Announcement
 }
 
-func start(t *testing.T, id proxy.HostID) *host {
+func start(t testing.TB, id proxy.HostID) *host {
 	t.Helper()
 	is := is.New(t)
 	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -92,6 +92,9 @@
 		workers.Go(func() { c.run(runCtx) })
 	}
 	faultCtx, cancelFaults := context.WithTimeout(runCtx, o.Duration)
+	// The odd writer has a random source of its own, so that it leaves the schedule of the
+	// other faults as it is.
+	workers.Go(func() { s.writeOddly(faultCtx, rand.New(rand.NewPCG(o.Seed, writerStream))) })
 	s.inject(faultCtx, random)
 	cancelFaults()
 	s.logEvent("faults ended")
@@ -103,6 +106,9 @@
 	return s.report(), nil
 }
 
+// writerStream is the random stream of the odd writer, beyond those of the clients.
+const writerStream = 1 << 32
+
 // start starts the deployment, the relays and the hosts, and creates the clients. The
 // returned function stops what was started, also after an error.
 func (s *Soak) start() (stop func(), err error) {
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -60,10 +60,12 @@
 // Phase is the state of a leadership record.
 type Phase string
 
-// The phases of a leadership record.
+// The phases of a leadership record. Unreadable is never stored: it stands for a record
+// that another writer has overwritten with something else.
 const (
-	Settled   Phase = "settled"
-	Replacing Phase = "replacing"
+	Settled    Phase = "settled"
+	Replacing  Phase = "replacing"
+	Unreadable Phase = "unreadable"
 )
 
 // Record is the stored leadership record of a group.
@@ -98,6 +100,7 @@
 	Demoted     Reason = "primary reports another role"
 	Unreachable Reason = "most hosts cannot reach the primary"
 	Abandoned   Reason = "replacement was not completed"
+	Overwritten Reason = "leadership record is not readable"
 )
 
 // View is a host's view of a group, the input of Decide.
@@ -123,6 +126,9 @@
 // Decide reports whether the host has to start a failover now, or to take over an
 // unfinished one, and returns the reason.
 func Decide(v View) (Reason, bool) {
+	if v.Record.Phase == Unreadable {
+		return Overwritten, true
+	}
 	if v.Record.Phase == Replacing {
 		return Abandoned, v.OwnAttemptMissing || v.RecordAge > takeoverTimeout || !v.CoordinatorRunning && v.RecordAge > coordinatorStartTimeout
 	}
