Contain panics in sessions and decoders

Cause: no goroutine recovered, so one unexpected state in a session, or one input that a decoder does not expect, ended the process with some thousand sessions. Change: internal/containment. A panic of a decoder is an error of its input; a panic in a session's work ends the session, closes what it holds and tells the client 'outcome unknown' where the statement may have run; a panic in state that sessions share still ends the process, now also in requests of other hosts, where the HTTP server recovered it and left a lock locked. Before: TestPanicEndsItsSessionOnly and TestPanicOfADecoderIsAnError end the test process.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -43,6 +43,7 @@
 		}
 		closeAll(grant.Evicted)
 		c := grant.Connection
+		s.acquired = c
 		if c.Conn != nil {
 			return c, nil
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -140,6 +140,7 @@
 	}
 	h.incarnation = incarnation
 	h.sampleSeed = maphash.MakeSeed()
+	h.Decode, h.Dialer = h.Decode.contained(), containedDialer{h.Dialer}
 	h.clusterState = newClusterState()
 	h.rejected.log, h.rejected.metrics = h.Log, h.Metrics
 	h.open.sessions = make(map[*session]struct{})
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -46,6 +46,11 @@
 	store, orders string
 	// grace is the grace time of hosts started from now on.
 	grace time.Duration
+	// clock and decoders replace those of hosts started from now on; nil to use the real
+	// ones.
+	clock    proxy.Clock
+	decoders *entry.Decoders
+	metrics  []*entry.Metrics
 	// ended holds a channel for each host on which the result of its Run is sent.
 	ended []chan error
 }
@@ -94,6 +99,13 @@
 		},
 		Metrics: entry.NewMetrics(),
 	}
+	if w.clock != nil {
+		host.Clock = w.clock
+	}
+	if w.decoders != nil {
+		host.Decode = *w.decoders
+	}
+	w.metrics = append(w.metrics, host.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	w.ended = append(w.ended, ended)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,7 +35,7 @@
 	Registry metrics.Registry
 
 	served, connectionOpened, connectionFull, connectionBroken,
-	retried, unlogged, storeReads, recordsRejected metrics.Counter
+	retried, unlogged, storeReads, recordsRejected, sessionsPanicked metrics.Counter
 	codes         map[proxy.Code]metrics.Counter
 	instanceCodes map[proxy.Code]metrics.Counter
 	latency       metrics.Histogram
@@ -60,6 +60,7 @@
 		"log.unlogged":       &m.unlogged,
 		"store.reads":        &m.storeReads,
 		"records.rejected":   &m.recordsRejected,
+		"sessions.panicked":  &m.sessionsPanicked,
 	} {
 		*counter = metrics.NewCounter()
 		m.register(name, *counter)
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -21,11 +21,11 @@
 // serveReady serves the readiness probe and returns a function that stops it.
 func (h *Host) serveReady(ctx context.Context) (func(), error) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+readyPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+readyPath, endOnPanic(func(w http.ResponseWriter, _ *http.Request) {
 		if !h.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})
+	}))
 	return serve(ctx, h.Settings.Ready, mux)
 }
 
@@ -36,10 +36,10 @@
 		return func() {}, nil
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+metricsPath, endOnPanic(func(w http.ResponseWriter, _ *http.Request) {
 		h.updateGauges()
 		metrics.WriteOnce(h.Metrics.Registry, w)
-	})
+	}))
 	return serve(ctx, h.Settings.Metrics, mux)
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -149,7 +149,7 @@
 // serveRelay serves the followers of this host until the returned function is called.
 func (h *Host) serveRelay(ctx context.Context) (func(), error) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+relayPath, h.handleRelayRequest)
+	mux.HandleFunc("GET "+relayPath, endOnPanic(h.handleRelayRequest))
 	return serve(ctx, h.Settings.Peer.String(), mux)
 }
 
--- a/internal/entry/relay_message.go
+++ b/internal/entry/relay_message.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/auburnyoke/auburnyoke/internal/containment"
 	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
@@ -33,7 +34,7 @@
 // DecodeRelayResponse decodes a response that came from another host.
 func DecodeRelayResponse(data []byte) (RelayResponse, error) {
 	var r RelayResponse
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := containment.Call(func() error { return cbor.Unmarshal(data, &r) }); err != nil {
 		return r, fmt.Errorf("decode relay response: %w", err)
 	}
 	if err := r.Validate(); err != nil {
@@ -87,8 +88,11 @@
 	case known.Version != c.Base:
 		return proxy.Record{}, fmt.Errorf("%s: %w", c.Name, errUnknownBase)
 	}
-	var err error
-	if record.Spec, err = peering.Decompress(known.Spec, c.Compressed); err != nil {
+	err := containment.Call(func() (err error) {
+		record.Spec, err = peering.Decompress(known.Spec, c.Compressed)
+		return err
+	})
+	if err != nil {
 		return proxy.Record{}, fmt.Errorf("decompress %s: %w", c.Name, err)
 	}
 	return record, nil
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -37,6 +37,8 @@
 	position *proxy.Bookmark
 	// trace is what the log line of the current statement reports.
 	trace trace
+	// acquired is the connection that was acquired last. It may be released.
+	acquired *dispatch.Connection
 
 	mu sync.Mutex
 	// serving reports that a statement is being processed, interruptSent that a
@@ -46,6 +48,7 @@
 
 // trace records how a statement was processed.
 type trace struct {
+	request proxy.RequestID
 	// account is the account whose allowance was used; empty for none.
 	account proxy.AccountID
 	// instance is the last instance that the statement was sent to, tries the number
@@ -115,6 +118,14 @@
 // serveClient serves one client connection.
 func (h *Host) serveClient(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	s := &session{
+		host: h, id: h.lastSessionID.Add(1), values: make(map[string]string), prepared: make(map[string]proxy.Statement),
+	}
+	h.contain(s, func() { h.serveSession(s, conn) }, s.endAfterPanic)
+}
+
+// serveSession opens the session of a client connection and serves it.
+func (h *Host) serveSession(s *session, conn net.Conn) {
 	client := h.Client(conn)
 	database, key, err := client.Startup()
 	if err == nil {
@@ -133,14 +144,11 @@
 	if client.Accept() != nil {
 		return
 	}
-	s := &session{
-		host: h, id: h.lastSessionID.Add(1), clientConn: client, database: database, key: key,
-		values: make(map[string]string), prepared: make(map[string]proxy.Statement),
-	}
+	s.clientConn, s.database, s.key = client, database, key
 	h.open.add(s)
 	defer h.open.remove(s)
-	defer s.release()
 	s.run()
+	s.release()
 }
 
 // admitSession checks the database and key that a client sends at startup.
@@ -192,7 +200,7 @@
 		}
 		s.startServing()
 		s.awaitOpening()
-		s.trace = trace{}
+		s.trace = trace{request: statement.ID}
 		var answer proxy.Answer
 		if failure != nil {
 			answer = s.failure(failure)
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -35,10 +35,17 @@
 	t.openingStarted = true
 	go func() {
 		defer close(t.opened)
-		t.refusal = s.openTransaction(t.arrived.Add(t.route.Timeout))
-		if t.connection != nil {
-			s.host.table.Pause(s.host.Clock.Now(), t.connection)
-		}
+		s.host.contain(s, func() {
+			t.refusal = s.openTransaction(t.arrived.Add(t.route.Timeout))
+			if t.connection != nil {
+				s.host.table.Pause(s.host.Clock.Now(), t.connection)
+			}
+		}, func() {
+			s.host.endPrimaryOperation(t)
+			s.abandonConnection()
+			t.connection = nil
+			t.refusal = &proxy.Failure{Code: proxy.Aborted, Text: "host failed while it began the transaction"}
+		})
 	}()
 }
 
--- a/internal/peering/endpoint.go
+++ b/internal/peering/endpoint.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/auburnyoke/auburnyoke/internal/containment"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
 )
@@ -117,7 +118,7 @@
 }
 
 func decode(data []byte, m *message) error {
-	if err := cbor.Unmarshal(data, m); err != nil {
+	if err := containment.Call(func() error { return cbor.Unmarshal(data, m) }); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
 	return m.Validate()
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -91,6 +91,8 @@
 	lastUsed proxy.Instant
 	started  proxy.Instant
 	running  bool
+	// acquired reports that the connection belongs to the caller of Acquire.
+	acquired bool
 }
 
 // Grant grants the use of a connection. The receiver must close the connections in
@@ -253,6 +255,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.stop(now)
+	c.acquired = false
 	if c.inst.removed {
 		c.inst.open--
 		t.serveGroup(now, c.Group)
@@ -269,7 +272,24 @@
 func (t *Table) Discard(now proxy.Instant, c *Connection, reason Reason) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.discard(now, c, reason)
+}
+
+// Abandon discards a connection unless it was released or discarded before. It reports
+// whether the caller must close the connection.
+func (t *Table) Abandon(now proxy.Instant, c *Connection) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !c.acquired {
+		return false
+	}
+	t.discard(now, c, Unneeded)
+	return true
+}
+
+func (t *Table) discard(now proxy.Instant, c *Connection, reason Reason) {
 	c.stop(now)
+	c.acquired = false
 	c.inst.open--
 	switch reason {
 	case Unreachable:
@@ -365,6 +385,7 @@
 	}
 	c := inst.idle[len(inst.idle)-1]
 	inst.idle = inst.idle[:len(inst.idle)-1]
+	c.acquired = true
 	c.start(now)
 	return c
 }
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -194,6 +194,7 @@
 	if n := i.findIdle(account); n >= 0 {
 		c := i.idle[n]
 		i.idle = slices.Delete(i.idle, n, n+1)
+		c.acquired = true
 		c.start(now)
 		return Grant{Connection: c}
 	}
@@ -204,7 +205,7 @@
 	i.open++
 	c := &Connection{
 		Target: proxy.Target{Group: i.Group, Instance: i.ID, Address: i.Address, Account: account},
-		inst:   i,
+		inst:   i, acquired: true,
 	}
 	c.start(now)
 	grant.Connection = c
