Ask whether a promotion is still valid immediately before it leaves the host

Cause: a coordinator that is suspended between its check and the write of the request sends it after another host may have taken over; the timeout of the call does not count the suspension. Change: the connection of a promotion asks before each write; an expired request is not sent and counts as not sent.

--- a/cmd/auburnyoke-entry/main.go
+++ b/cmd/auburnyoke-entry/main.go
@@ -79,22 +79,18 @@
 // build returns a host on the platform and a function that releases its resources.
 func build(settings entry.Settings, log zerolog.Logger) (*entry.Host, func()) {
 	store, closeStore := platform.NewStore(settings.Store)
-	promoter, closePromoter := platform.NewPromotionClient(settings.Orders)
 	host := &entry.Host{
 		Settings: settings,
 		Log:      log,
 		Clock:    entry.BootClock{},
 		Store:    store,
-		Promoter: promoter,
+		Promoter: platform.NewPromotionClient(settings.Orders),
 		Dialer:   platform.NewDialer(),
 		Decode:   platform.Decoders(),
 		Client:   func(conn net.Conn) entry.Client { return platform.NewClientConn(conn) },
 		Metrics:  entry.NewMetrics(),
 	}
-	return host, func() {
-		closeStore()
-		closePromoter()
-	}
+	return host, closeStore
 }
 
 // checkReloads checks the settings file at each reload signal and logs the result. A
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -249,14 +249,20 @@
 			return false, errSuperseded
 		}
 	}
-	if !a.mayContinue() || a.host.Clock.Now().Sub(read) > failover.PromotionSendTimeout {
+	stillValid := func() bool {
+		return a.mayContinue() && a.host.Clock.Now().Sub(read) <= failover.PromotionSendTimeout
+	}
+	if !stillValid() {
 		return false, errSuperseded
 	}
-	fence := uint64(a.version)
-	a.host.Log.Info().Str("group", string(a.group)).Str("successor", string(successor)).Uint64("fence", fence).
-		Msg("promotion ordered")
-	if err := a.host.Promoter.Promote(ctx, a.group, successor, a.host.Settings.Host, fence); err != nil {
-		return true, fmt.Errorf("request promotion: %w", err)
+	promotion := proxy.Promotion{
+		Group: a.group, Instance: successor, Holder: a.host.Settings.Host, Fence: uint64(a.version),
+		StillValid: stillValid,
+	}
+	a.host.Log.Info().Str("group", string(a.group)).Str("successor", string(successor)).
+		Uint64("fence", promotion.Fence).Msg("promotion ordered")
+	if err := a.host.Promoter.Promote(ctx, promotion); err != nil {
+		return !errors.Is(err, proxy.ErrExpired), fmt.Errorf("request promotion: %w", err)
 	}
 	return true, nil
 }
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -87,10 +87,10 @@
 	s.Store, s.Orders = cmp.Or(w.store, s.Store), cmp.Or(w.orders, s.Orders)
 	is.NoErr(s.Validate())
 	store, closeStore := platform.NewStore(s.Store)
-	promoter, closePromoter := platform.NewPromotionClient(s.Orders)
 	host := &entry.Host{
-		Settings: s, Log: zerolog.Nop(), Clock: entry.BootClock{}, Store: store, Promoter: promoter,
-		Dialer: platform.NewDialer(), Decode: platform.Decoders(),
+		Settings: s, Log: zerolog.Nop(), Clock: entry.BootClock{}, Store: store,
+		Promoter: platform.NewPromotionClient(s.Orders),
+		Dialer:   platform.NewDialer(), Decode: platform.Decoders(),
 		Client: func(conn net.Conn) entry.Client {
 			if w.wrap != nil {
 				conn = w.wrap(conn)
@@ -120,7 +120,6 @@
 		cancel()
 		is.NoErr(<-ended)
 		closeStore()
-		closePromoter()
 	})
 }
 
--- a/pkg/proxy/records.go
+++ b/pkg/proxy/records.go
@@ -58,10 +58,25 @@
 	Remove(ctx context.Context, kind Kind, name string, expected Version) error
 }
 
+// Promotion is a request to make an instance the primary of its group.
+type Promotion struct {
+	Group    GroupID
+	Instance InstanceID
+	// Holder is the host that holds the lease for this, Fence its fencing token.
+	Holder HostID
+	Fence  uint64
+	// StillValid is asked immediately before the request leaves the host, since the host
+	// may have been suspended in the meantime and another may have taken over.
+	StillValid func() bool
+}
+
 // Promoter requests promotions from the platform.
 type Promoter interface {
-	// Promote requests that the platform make the instance the primary of its
-	// group. Holder is the host that holds the lease for this, and fence is its
-	// fencing token.
-	Promote(ctx context.Context, group GroupID, instance InstanceID, holder HostID, fence uint64) error
+	// Promote requests a promotion. It returns ErrConflict if the platform answers that
+	// the instance cannot be promoted, and ErrExpired if the request was no longer valid
+	// and has not left the host. After any other error, it may have taken effect.
+	Promote(ctx context.Context, promotion Promotion) error
 }
+
+// ErrExpired reports that a request has not left the host because it was no longer valid.
+var ErrExpired = errors.New("request is no longer valid")
