Let another host take over a failover whose coordinator gets no answers

Cause: a coordinator whose answers from the store were lost wrote the record again and again: each write took effect and raised the version, and since the host had accepted the record it counted as working on the failover, so no other host took over and the group had no primary for as long as it lasted. Change: a host reports the failovers on which it works; one that the store leaves without answers for 1 s does not count as working, and begins none for 5 s. A record that was written is used when the watch brings it, without a second write.

--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -18,7 +18,7 @@
 	// fault returns the error code with which an instance answers a statement, or an
 	// empty string if the instance runs it. It may be nil.
 	fault func(instance, text string) string
-	// lost is the number of coming writes whose answers are lost.
+	// lost is the number of coming writes and commits whose answers are lost.
 	lost      int
 	store     *Store
 	instances []*Instance
@@ -238,6 +238,17 @@
 	return currentPrimary
 }
 
+// Term returns the newest term.
+func (g *Group) Term() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var term uint64
+	for _, i := range g.instances {
+		term = max(term, i.term)
+	}
+	return term
+}
+
 // Instances returns the ids of the group's instances.
 func (g *Group) Instances() []string {
 	var ids []string
@@ -368,8 +379,8 @@
 	g.fault = fault
 }
 
-// LoseAnswers makes the instances of the group run the next writes and close the
-// connection instead of answering them.
+// LoseAnswers makes the instances of the group run the next writes and commits and close
+// the connection instead of answering them.
 func (g *Group) LoseAnswers(writes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -87,7 +87,7 @@
 			state = "T"
 		}
 		answer += fmt.Sprintf("READY %s %s\r\n", state, i.positionText(time.Now()))
-		lost := g.lost > 0 && strings.HasPrefix(text, "WRITE")
+		lost := g.lost > 0 && (strings.HasPrefix(text, "WRITE") || text == "COMMIT")
 		if lost {
 			g.lost--
 		}
--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -78,6 +78,10 @@
 	registeredAt, countedFrom proxy.Instant
 	// votes are the results of polls on the primaries that this host suspects.
 	votes map[proxy.InstanceID]vote
+	// attempts are the failovers that this host coordinates. No new one begins before
+	// attemptAfter.
+	attempts     map[proxy.GroupID]*failoverAttempt
+	attemptAfter proxy.Instant
 	// suspectedSince is when this host first failed to reach each suspected instance.
 	suspectedSince map[proxy.InstanceID]proxy.Instant
 }
@@ -90,6 +94,7 @@
 		positionHistories: make(map[proxy.GroupID]*freshness.History),
 		members:           make(map[proxy.HostID]*member),
 		votes:             make(map[proxy.InstanceID]vote),
+		attempts:          make(map[proxy.GroupID]*failoverAttempt),
 		suspectedSince:    make(map[proxy.InstanceID]proxy.Instant),
 	}
 }
@@ -167,6 +172,13 @@
 	}
 }
 
+// coordinating reports whether this host coordinates a failover.
+func (s *clusterState) coordinating() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts) > 0
+}
+
 // recordPosition records the log position that the group's primary returned for a
 // statement sent at now.
 func (s *clusterState) recordPosition(
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -27,6 +27,12 @@
 	// storeReachableMargin plus twice confirmationWait is the age up to which the last
 	// confirmation of the leadership records shows that the store is reachable.
 	storeReachableMargin = time.Second
+	// storeFailingTimeout is how long the store may leave a coordinator without an answer
+	// until the coordinator no longer counts as working on its failover.
+	storeFailingTimeout = time.Second
+	// attemptPause is how long a host begins no failover after the store has not answered
+	// it. Another host begins or takes over the failover meanwhile.
+	attemptPause = 5 * time.Second
 	// maxRank limits the start delay of the hosts with the highest ranks.
 	maxRank = 12
 	// pollInterval is the pause between two checks for an awaited condition.
@@ -104,7 +110,7 @@
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !cs.storeReachableLocked(now) || cs.configurationConfirmedAt == 0 {
+	if !cs.storeReachableLocked(now) || cs.configurationConfirmedAt == 0 || now < cs.attemptAfter {
 		return nil
 	}
 	l := cs.leaderships[id]
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -44,28 +44,25 @@
 	promoting, rejectedInstance proxy.InstanceID
 	requestedAt                 proxy.Instant
 	requestAccepted             bool
+	// storeFailingSince is when the store began to leave the attempt without answers; zero
+	// while it answers. The lock of the cluster state guards it and version.
+	storeFailingSince proxy.Instant
 }
 
 // run writes the record that begins the failover and coordinates it to its end.
 func (a *failoverAttempt) run(ctx context.Context) {
 	h := a.host
-	h.failoverAttempts.Add(1)
-	defer h.failoverAttempts.Add(-1)
+	defer a.begin()()
 	if a.reason == failover.Unreachable && h.probe(a.record.Primary) {
 		return
 	}
 	log := h.Log.With().Str("group", string(a.group)).Str("primary", string(a.record.Primary)).Logger()
 	log.Info().Str("reason", string(a.reason)).Uint64("version", uint64(a.baseVersion)).Msg("replacement begins")
 	a.startedAt = h.Clock.Now()
-	written, err := h.Store.Write(ctx, leadershipKind, string(a.group), a.record, a.baseVersion)
-	if err != nil {
-		// If the record was written but the store's answer was lost, this host receives
-		// the record from its watch and then starts an attempt to complete the failover.
+	if err := a.writeRecord(ctx); err != nil {
 		log.Info().Err(err).Msg("replacement was not begun")
 		return
 	}
-	a.version, a.acknowledgedAt = written.Version, h.Clock.Now()
-	h.applyLeadership(a.group, a.record, a.version)
 	successor, err := a.coordinate(ctx)
 	if err != nil {
 		log.Warn().Err(err).Uint64("version", uint64(a.version)).Msg("replacement failed")
@@ -74,6 +71,87 @@
 	log.Info().Str("successor", string(successor)).Dur("took", h.Clock.Now().Sub(a.startedAt)).Msg("replacement done")
 }
 
+// begin registers the attempt with the cluster state and returns a function that ends it.
+func (a *failoverAttempt) begin() (end func()) {
+	cs := a.host.clusterState
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.attempts[a.group] = a
+	return func() {
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		delete(cs.attempts, a.group)
+	}
+}
+
+// writeRecord writes the record that begins the failover. If the store's answer is lost,
+// the watch tells whether the record was written; if it does not either, this host leaves
+// the failover to others for some time.
+func (a *failoverAttempt) writeRecord(ctx context.Context) error {
+	h := a.host
+	written, err := h.Store.Write(ctx, leadershipKind, string(a.group), a.record, a.baseVersion)
+	a.recordStoreCall(err)
+	version := written.Version
+	if err != nil {
+		if errors.Is(err, proxy.ErrConflict) || errors.Is(err, proxy.ErrRefused) {
+			return fmt.Errorf("write record: %w", err)
+		}
+		var ok bool
+		if version, ok = a.awaitRecord(ctx); !ok {
+			h.clusterState.mu.Lock()
+			h.clusterState.attemptAfter = h.Clock.Now().Add(attemptPause)
+			h.clusterState.mu.Unlock()
+			return fmt.Errorf("write record: %w", err)
+		}
+	}
+	h.clusterState.mu.Lock()
+	a.version, a.acknowledgedAt = version, h.Clock.Now()
+	h.clusterState.mu.Unlock()
+	h.applyLeadership(a.group, a.record, version)
+	return nil
+}
+
+// awaitRecord waits until this host receives the record that the attempt has written, and
+// returns its version.
+func (a *failoverAttempt) awaitRecord(ctx context.Context) (proxy.Version, bool) {
+	cs := a.host.clusterState
+	for start := a.host.Clock.Now(); a.host.Clock.Now().Sub(start) < storeFailingTimeout; {
+		cs.mu.Lock()
+		l := cs.leaderships[a.group]
+		received := l != nil && l.version > a.baseVersion && l.record == a.record
+		version := proxy.Version(0)
+		if received {
+			version = l.version
+		}
+		cs.mu.Unlock()
+		if received {
+			return version, true
+		}
+		if !timing.Sleep(ctx, pollInterval) {
+			return 0, false
+		}
+	}
+	return 0, false
+}
+
+// recordStoreCall records whether the store has answered a call of the attempt.
+func (a *failoverAttempt) recordStoreCall(err error) {
+	a.host.clusterState.mu.Lock()
+	defer a.host.clusterState.mu.Unlock()
+	answered := err == nil || errors.Is(err, proxy.ErrConflict)
+	if answered {
+		a.storeFailingSince = 0
+	} else if a.storeFailingSince == 0 {
+		a.storeFailingSince = a.host.Clock.Now()
+	}
+}
+
+// stalled reports whether the store leaves the attempt without answers, so that another
+// host should take the failover over. The caller holds the lock of the cluster state.
+func (a *failoverAttempt) stalled(now proxy.Instant) bool {
+	return a.storeFailingSince != 0 && now.Sub(a.storeFailingSince) > storeFailingTimeout
+}
+
 // coordinate retires the old primary, has a successor promoted, and records it. It
 // returns the new primary. If only the record was overwritten, the old primary may remain.
 func (a *failoverAttempt) coordinate(ctx context.Context) (proxy.InstanceID, error) {
@@ -184,6 +262,7 @@
 func (a *failoverAttempt) allConfirmed(ctx context.Context) bool {
 	if a.unconfirmedHosts == nil {
 		listing, err := a.host.Store.List(ctx, memberKind)
+		a.recordStoreCall(err)
 		if err != nil {
 			a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("hosts were not listed")
 			return false
@@ -241,6 +320,7 @@
 func (a *failoverAttempt) sendPromotion(ctx context.Context, successor proxy.InstanceID) (sent bool, err error) {
 	read := a.host.Clock.Now()
 	listing, err := a.host.Store.List(ctx, leadershipKind)
+	a.recordStoreCall(err)
 	if err != nil {
 		return false, fmt.Errorf("read leadership record before promotion: %w", err)
 	}
@@ -273,6 +353,7 @@
 	record := failover.Record{Primary: successor, Phase: failover.Settled}
 	for a.mayContinue() {
 		written, err := a.host.Store.Write(ctx, leadershipKind, string(a.group), record, a.version)
+		a.recordStoreCall(err)
 		if err == nil {
 			a.host.applyLeadership(a.group, record, written.Version)
 			return nil
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -99,8 +99,6 @@
 	// sessions.
 	stopping, closing atomic.Bool
 	open              sessionSet
-	// failoverAttempts is the number of failover attempts that this host is running.
-	failoverAttempts atomic.Int64
 	// logLimit and sampleSeed limit the log lines about requests; see recordAnswer.
 	logLimit   logLimit
 	sampleSeed maphash.Seed
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -236,6 +237,22 @@
 	w.t.Fatalf("leadership record of %s never contained %q", w.Groups[0].Name, text)
 }
 
+// waitReady waits until a host reports that it is ready, and whether it does in time.
+func (w *testDeployment) waitReady(host entry.Settings) bool {
+	w.t.Helper()
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		response, err := http.Get("http://" + host.Ready + "/-/readyz")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *testDeployment) session(host int, database string) *client {
 	w.t.Helper()
 	is := is.New(w.t)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -296,6 +296,11 @@
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	for id, a := range cs.attempts {
+		if !a.stalled(now) {
+			s.Coordinating = append(s.Coordinating, peering.Acceptance{Group: id, Version: a.version})
+		}
+	}
 	for id, l := range cs.leaderships {
 		if l.record.Phase == failover.Replacing && l.accepted {
 			s.Accepted = append(s.Accepted, peering.Acceptance{Group: id, Version: l.version})
--- a/internal/entry/poll.go
+++ b/internal/entry/poll.go
@@ -106,7 +106,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for _, s := range states {
-		for _, a := range s.Accepted {
+		for _, a := range s.Coordinating {
 			if l := cs.leaderships[a.Group]; l != nil && l.version == a.Version && l.record.Host == s.Host {
 				l.coordinatorConfirmedAt = now
 			}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -37,7 +37,7 @@
 	_ = listener.Close()
 	for h.Clock.Now() < end {
 		open := h.open.list()
-		if len(open) == 0 && h.failoverAttempts.Load() == 0 {
+		if len(open) == 0 && !h.clusterState.coordinating() {
 			break
 		}
 		pause := min(closeSpan/time.Duration(len(open)+1), maxCloseInterval)
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -41,6 +41,8 @@
 	Accepted []Acceptance `cbor:"2,keyasint,omitempty"`
 	// Suspects are the primaries that the host cannot reach.
 	Suspects []proxy.InstanceID `cbor:"3,keyasint,omitempty"`
+	// Coordinating are the failovers on which the host is working.
+	Coordinating []Acceptance `cbor:"4,keyasint,omitempty"`
 }
 
 // Acceptance identifies the version of a group's leadership record that a host has
