--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -219,13 +219,21 @@
 }
 
 // drainPrimary makes a primary announce that it is about to leave, and later
-// crashes and restarts it.
+// crashes and restarts it. The time until then can exceed maxDrainTime.
 func drainPrimary(ctx context.Context, s *Soak, random *rand.Rand) error {
 	defer s.faultHistory.begin(false, instancesComponent)()
 	g := s.deployment.Groups[random.IntN(len(s.deployment.Groups))]
 	id := g.Primary()
 	g.Drain(id)
-	pause(ctx, randomDuration(random, time.Second, 8*time.Second))
+	announced := time.Now()
+	pause(ctx, randomDuration(random, time.Second, 11*time.Second))
+	seen := []component{storeComponent, machineComponent}
+	for _, h := range s.hosts {
+		seen = append(seen, component(h.number))
+	}
+	if s.faultHistory.faultFree(announced, true, seen...) {
+		s.ledger.RecordLeaving(id, announced, time.Now())
+	}
 	g.Crash(id)
 	g.Restart(id)
 	return nil
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -66,6 +66,8 @@
 	runsByRequest map[string][]deployment.Run
 	runsInOrder   []deployment.Run
 	discarded     map[string]map[int]bool
+	// leaving holds the periods in which instances announced that they leave.
+	leaving map[string][]leavingPeriod
 	// withdrawnAt is when the store acknowledged the withdrawal of a key.
 	withdrawnAt map[string]time.Time
 	limits      map[string]deployment.Account
@@ -73,11 +75,15 @@
 	violations []string
 }
 
+// leavingPeriod is the time from the acknowledgement of an instance's announcement to its
+// end.
+type leavingPeriod struct{ from, until time.Time }
+
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
 		runsByRequest: make(map[string][]deployment.Run), discarded: make(map[string]map[int]bool),
-		withdrawnAt: make(map[string]time.Time), limits: make(map[string]deployment.Account),
+		leaving: make(map[string][]leavingPeriod), withdrawnAt: make(map[string]time.Time), limits: make(map[string]deployment.Account),
 	}
 }
 
@@ -127,6 +133,14 @@
 	l.withdrawnAt[key] = at
 }
 
+// RecordLeaving records that an instance announced at from that it leaves, and left at
+// until, if all hosts could see it meanwhile.
+func (l *Ledger) RecordLeaving(instance string, from, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[instance] = append(l.leaving[instance], leavingPeriod{from, until})
+}
+
 // RecordLimits records the limits of a client account.
 func (l *Ledger) RecordLimits(t deployment.Account) {
 	l.mu.Lock()
@@ -161,6 +175,7 @@
 	l.checkReads(add)
 	l.checkKeys(add)
 	l.checkRates(add)
+	l.checkLeaving(add)
 	return found
 }
 
@@ -281,3 +296,19 @@
 		}
 	}
 }
+
+// checkLeaving finds operations that began on an instance later than maxDrainTime after
+// it had announced that it leaves. Statements that follow in a transaction may run.
+func (l *Ledger) checkLeaving(add reportFunc) {
+	for _, run := range l.runsInOrder {
+		if run.Transaction {
+			continue
+		}
+		for _, p := range l.leaving[run.Instance] {
+			if after := run.At.Sub(p.from); after > maxDrainTime && run.At.Before(p.until) {
+				add("DRAIN", "%s ran on %s %v after it had announced to leave",
+					run.Request, run.Instance, after.Round(time.Millisecond))
+			}
+		}
+	}
+}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -114,6 +114,18 @@
 			l.RecordWithdrawal("key", at(0))
 			l.Record(read("r1", "ledger-strict", "s1", 0, 4999*time.Millisecond))
 		}, ""},
+		"instance that leaves": {func(l *soak.Ledger) {
+			l.RecordLeaving("i-1", at(0), at(10*time.Second))
+			l.Record(read("r1", "ledger-strict", "s1", 0, 7001*time.Millisecond))
+		}, "DRAIN"},
+		"instance that leaves now": {func(l *soak.Ledger) {
+			l.RecordLeaving("i-1", at(0), at(10*time.Second))
+			l.Record(read("r1", "ledger-strict", "s1", 0, 6999*time.Millisecond))
+		}, ""},
+		"instance that has come back": {func(l *soak.Ledger) {
+			l.RecordLeaving("i-1", at(0), at(10*time.Second))
+			l.Record(read("r1", "ledger-strict", "s1", 0, 10001*time.Millisecond))
+		}, ""},
 		"account above its rate": {func(l *soak.Ledger) {
 			l.RecordLimits(deployment.Account{Name: "clerks", Rate: 1, Burst: 1})
 			for n := range 27 { // (1 x 5 + 1) x 1.1 + 20 = 26.6
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -18,6 +18,8 @@
 	maxApplyTime = 3 * time.Second
 	// maxRevokeTime is the time within which a withdrawn key stops working on all hosts.
 	maxRevokeTime = 5 * time.Second
+	// maxDrainTime is the time for which an instance that leaves gets operations.
+	maxDrainTime = 7 * time.Second
 	// gracePeriod is the time after which a host that is stopping is killed.
 	gracePeriod = 6 * time.Second
 	// unreadWindow is the time before the end of a connection within which a statement
