Move the codec and the free peer connections out of the PostgreSQL path's protocol

Entry hosts will forward statements to each other; both paths then share one codec and one set of free connections. No change of behaviour; the tests of internal/rpc and internal/daemon pass with the race detector.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -5,14 +5,13 @@
 	"crypto/tls"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"storj.io/drpc/drpcconn"
 
+	"github.com/auburnyoke/auburnyoke/internal/peerconn"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
 
@@ -43,17 +42,12 @@
 	// Metrics may be nil.
 	Metrics metrics.Registry
 
-	mu            sync.Mutex
-	freePeerConns map[string][]*peerConn
-	closed        bool
+	peerConns peerconn.Pool
 }
 
 // peerConn is a connection to another host. It is used for one stream at a time.
 type peerConn struct {
-	*drpcconn.Conn
-	address string
-	// unusedChecks counts the checks since the last use.
-	unusedChecks int
+	*peerconn.Conn
 	// remoteConnection is the acquired connection that uses the peer connection.
 	remoteConnection *remoteConnection
 	// frontend is reused by successive acquired connections, which saves the allocation
@@ -69,15 +63,6 @@
 // Write implements io.Writer for the Frontend.
 func (p *peerConn) Write(b []byte) (int, error) { return p.remoteConnection.Write(b) }
 
-func (p *peerConn) isClosed() bool {
-	select {
-	case <-p.Closed():
-		return true
-	default:
-		return false
-	}
-}
-
 // Run checks the free peer connections at the interval KeepAlive until ctx ends, and then
 // closes them.
 func (c *Client) Run(ctx context.Context) {
@@ -86,9 +71,9 @@
 	for {
 		select {
 		case <-ticker.C:
-			c.checkFreePeerConns(ctx)
+			c.peerConns.Check(maxUnusedChecks, func(p *peerconn.Conn) error { return c.ping(ctx, p) })
 		case <-ctx.Done():
-			c.closeFreePeerConns()
+			c.peerConns.Close()
 			return
 		}
 	}
@@ -109,91 +94,27 @@
 	return c.KeepAlive
 }
 
-// checkFreePeerConns pings the free connections that have not been used since the last check.
-// It closes those that do not answer, and those that have been unused for more than
-// maxUnusedChecks.
-func (c *Client) checkFreePeerConns(ctx context.Context) {
-	c.mu.Lock()
-	var idle []*peerConn
-	for address, conns := range c.freePeerConns {
-		kept := conns[:0]
-		for _, p := range conns {
-			p.unusedChecks++
-			if p.unusedChecks == 1 {
-				kept = append(kept, p)
-			} else {
-				idle = append(idle, p)
-			}
-		}
-		c.freePeerConns[address] = kept
-	}
-	c.mu.Unlock()
-	var wait sync.WaitGroup
-	for _, p := range idle {
-		wait.Go(func() { c.ping(ctx, p) })
-	}
-	wait.Wait()
-}
-
-func (c *Client) ping(ctx context.Context, p *peerConn) {
-	if p.unusedChecks > maxUnusedChecks {
-		_ = p.Close()
-		return
-	}
+func (c *Client) ping(ctx context.Context, p *peerconn.Conn) error {
 	ctx, cancel := context.WithTimeout(ctx, c.keepAliveInterval())
 	defer cancel()
 	if err := p.Invoke(ctx, pingRPC, c.Codec, &empty{}, &empty{}); err != nil {
-		c.Logger.Warn().Err(err).Str("peer", p.address).Msg("peer connection does not answer")
-		_ = p.Close()
-		return
+		c.Logger.Warn().Err(err).Str("peer", p.Address).Msg("peer connection does not answer")
+		return fmt.Errorf("ping: %w", err)
 	}
-	c.putPeerConn(p)
+	return nil
 }
 
 // takePeerConn removes and returns a free connection to the host at address, or returns nil.
 func (c *Client) takePeerConn(address string) *peerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for {
-		conns := c.freePeerConns[address]
-		if len(conns) == 0 {
-			return nil
-		}
-		p := conns[len(conns)-1]
-		c.freePeerConns[address] = conns[:len(conns)-1]
-		if !p.isClosed() {
-			p.unusedChecks = 0
-			return p
-		}
-		_ = p.Close()
+	conn := c.peerConns.Take(address)
+	if conn == nil {
+		return nil
 	}
+	return conn.State.(*peerConn)
 }
 
 // putPeerConn adds a connection to the free ones.
-func (c *Client) putPeerConn(p *peerConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || p.isClosed() {
-		_ = p.Close()
-		return
-	}
-	if c.freePeerConns == nil {
-		c.freePeerConns = make(map[string][]*peerConn)
-	}
-	c.freePeerConns[p.address] = append(c.freePeerConns[p.address], p)
-}
-
-func (c *Client) closeFreePeerConns() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-	for _, conns := range c.freePeerConns {
-		for _, p := range conns {
-			_ = p.Close()
-		}
-	}
-	c.freePeerConns = nil
-}
+func (c *Client) putPeerConn(p *peerConn) { c.peerConns.Put(p.Conn) }
 
 // connect opens a connection to the host at address.
 func (c *Client) connect(ctx context.Context, address string) (*peerConn, error) {
@@ -203,19 +124,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to host %s: %w", address, err)
+	}
+	p := &peerConn{Conn: peerconn.New(conn, address)}
+	p.State = p
+	return p, nil
+}
+
+// dial opens a network connection to the host at address and authenticates both hosts.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("connect to host %s: %w", address, err)
+		return nil, fmt.Errorf("dial: %w", err)
 	}
 	conn = timeoutConn{conn, maxMissedKeepAlives * c.keepAliveInterval()}
-	if c.TLS != nil {
-		tlsConn := tls.Client(conn, c.TLS)
-		if err = tlsConn.HandshakeContext(ctx); err != nil {
-			_ = conn.Close()
-			return nil, fmt.Errorf("authenticate host %s: %w", address, err)
-		}
-		conn = tlsConn
+	if c.TLS == nil {
+		return conn, nil
+	}
+	tlsConn := tls.Client(conn, c.TLS)
+	if err = tlsConn.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("authenticate: %w", err)
 	}
-	return &peerConn{Conn: drpcconn.New(conn), address: address}, nil
+	return tlsConn, nil
 }
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -3,52 +3,26 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 
-	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/internal/wire"
 )
 
-const (
-	// maxMessageSize is the size in bytes of the largest accepted encoded message. A batch
-	// may contain a document of the platform's largest size and other messages of the same
-	// total size.
-	maxMessageSize = 2 * proxy.MaxObjectSize
-	// maxControlPayload is the size in bytes of the largest accepted payload of a frame
-	// other than a data frame.
-	maxControlPayload = 16 << 10
-	// maxNesting is the deepest accepted nesting of a message.
-	maxNesting = 16
-	// maxElements is the largest accepted number of elements of one array or map.
-	maxElements = 1 << 16
-)
+// maxControlPayload is the size in bytes of the largest accepted payload of a frame
+// other than a data frame.
+const maxControlPayload = 16 << 10
 
 // Codec encodes messages in CBOR, and frames as their kind and payload. It implements
 // drpc.Encoding.
-type Codec struct {
-	encode cbor.EncMode
-	decode cbor.DecMode
-}
+type Codec struct{ messages *wire.Codec }
 
 // NewCodec returns a codec.
 func NewCodec() (*Codec, error) {
-	encode, err := cbor.EncOptions{}.EncMode()
-	if err != nil {
-		return nil, fmt.Errorf("encoding options: %w", err)
-	}
-	decode, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-		MaxNestedLevels:  maxNesting,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-	}.DecMode()
+	messages, err := wire.NewCodec()
 	if err != nil {
-		return nil, fmt.Errorf("decoding options: %w", err)
+		return nil, fmt.Errorf("messages: %w", err)
 	}
-	return &Codec{encode: encode, decode: decode}, nil
+	return &Codec{messages}, nil
 }
 
 // Marshal implements drpc.Encoding.
@@ -61,9 +35,9 @@
 	if f, ok := msg.(*frame); ok {
 		return append(append(buf, byte(f.kind)), f.payload...), nil
 	}
-	encoded, err := c.encode.Marshal(msg)
+	encoded, err := c.messages.Marshal(msg)
 	if err != nil {
-		return nil, fmt.Errorf("encode %T: %w", msg, err)
+		return nil, err
 	}
 	return append(buf, encoded...), nil
 }
@@ -73,18 +47,5 @@
 	if f, ok := msg.(*frame); ok {
 		return f.decode(buf)
 	}
-	if len(buf) > maxMessageSize {
-		return eris.Errorf("message of %d bytes: at most %d are allowed", len(buf), maxMessageSize)
-	}
-	if err := c.decode.Unmarshal(buf, msg); err != nil {
-		return fmt.Errorf("decode %T: %w", msg, err)
-	}
-	validated, ok := msg.(proxy.Message)
-	if !ok {
-		return eris.Errorf("decode %T: the type has no Validate method", msg)
-	}
-	if err := validated.Validate(); err != nil {
-		return fmt.Errorf("decode %T: %w", msg, err)
-	}
-	return nil
+	return c.messages.Unmarshal(buf, msg)
 }
--- a/internal/rpc/remote_connection.go
+++ b/internal/rpc/remote_connection.go
@@ -37,11 +37,11 @@
 	case refusedFrame:
 		return c.frameStream.refusal(&c.frame)
 	default:
-		return &UnreachableError{c.peerConn.address, proxy.Refuse(proxy.ProtocolViolation, "frame of kind %d in place of a loan", c.frame.kind)}
+		return &UnreachableError{c.peerConn.Address, proxy.Refuse(proxy.ProtocolViolation, "frame of kind %d in place of a loan", c.frame.kind)}
 	}
 	var message granted
 	if err := c.frameStream.codec.Unmarshal(c.frame.payload, &message); err != nil {
-		return &UnreachableError{c.peerConn.address, err}
+		return &UnreachableError{c.peerConn.Address, err}
 	}
 	c.info = message.ConnectionInfo
 	c.peerConn.remoteConnection = c
--- a/internal/rpc/remote_pool.go
+++ b/internal/rpc/remote_pool.go
@@ -88,7 +88,7 @@
 		conn.closePeerConn()
 		refusal := proxy.Refuse(proxy.TooManyConnections, "no connection to group %s was lent in time", request.Group)
 		refusal.RetryAfter = retryAfter
-		return nil, &UnreachableError{p.address, refusal}
+		return nil, &UnreachableError{p.Address, refusal}
 	}
 	if err == nil {
 		return conn, nil
@@ -106,15 +106,15 @@
 func (c *remoteConnection) sendRequest(streamCtx context.Context, request proxy.ConnectionRequest) error {
 	stream, err := c.peerConn.NewStream(streamCtx, acquireRPC, c.client.Codec)
 	if err != nil {
-		return &UnreachableError{c.peerConn.address, err}
+		return &UnreachableError{c.peerConn.Address, err}
 	}
 	c.frameStream = frameStream{stream, c.client.Codec}
 	if err = c.frameStream.send(requestFrame, &opening{ConnectionRequest: request, Client: c.client.Nonce}); err != nil {
-		return &UnreachableError{c.peerConn.address, err}
+		return &UnreachableError{c.peerConn.Address, err}
 	}
 	c.keepAlive = startKeepAlive(c.frameStream, c.client.keepAliveInterval())
 	if err = c.frameStream.receive(&c.frame); err != nil {
-		return &UnreachableError{c.peerConn.address, err}
+		return &UnreachableError{c.peerConn.Address, err}
 	}
 	return c.acceptResponse()
 }
