Run commands on the instance connections of another host over drpc

A call carries one command or those of one transaction; the executing host reports every 100 ms that it is working. Not used by entry hosts yet.

--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/auburnyoke/auburnyoke/internal/wire"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+)
+
+// workingInterval is the interval at which a host reports that it is working on a
+// command.
+const workingInterval = 100 * time.Millisecond
+
+// Server runs commands for other hosts. Its exported fields are set before Run.
+type Server struct {
+	Executor proxy.Executor
+	// HoldTimeout limits the time without a command for which a connection is held for
+	// another host.
+	HoldTimeout time.Duration
+	Log         zerolog.Logger
+
+	codec *wire.Codec
+}
+
+// Run serves connections of the listener until ctx ends.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	var err error
+	if s.codec, err = wire.NewCodec(); err != nil {
+		return fmt.Errorf("create codec: %w", err)
+	}
+	mux := drpcmux.New()
+	if err := mux.Register(s, description{s.codec}); err != nil {
+		return fmt.Errorf("register the RPC: %w", err)
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Log: func(err error) {
+		s.Log.Debug().Err(err).Msg("connection of another host ended")
+	}})
+	if err := server.Serve(ctx, listener); err != nil {
+		return fmt.Errorf("serve other hosts: %w", err)
+	}
+	return nil
+}
+
+// description describes the RPC of a Server to drpc.
+type description struct{ codec *wire.Codec }
+
+// NumMethods implements drpc.Description.
+func (description) NumMethods() int { return 1 }
+
+// Method implements drpc.Description.
+func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n != 0 {
+		return "", nil, nil, nil, false
+	}
+	receiver := func(server any, _ context.Context, in1, _ any) (drpc.Message, error) {
+		return nil, server.(*Server).serve(in1.(drpc.Stream))
+	}
+	return executePath, d.codec, receiver, (*Server).serve, true
+}
+
+// serve runs the commands of one stream.
+func (s *Server) serve(stream drpc.Stream) error {
+	var first command
+	if err := stream.MsgRecv(&first, s.codec); err != nil {
+		return fmt.Errorf("receive command: %w", err)
+	}
+	if first.Execution == nil {
+		return eris.New("release without a held connection")
+	}
+	var held proxy.HeldConnection
+	executed, err := s.work(stream, func() (executed proxy.Executed) {
+		executed, held = s.Executor.Execute(stream.Context(), *first.Execution)
+		return executed
+	})
+	if err == nil {
+		err = s.send(stream, &reply{Executed: executed, Held: held != nil})
+	}
+	if held == nil {
+		return err
+	}
+	if err != nil {
+		held.Release()
+		return err
+	}
+	return s.serveHeld(stream, held)
+}
+
+// serveHeld runs further commands on a held connection until it is released.
+func (s *Server) serveHeld(stream drpc.Stream, held proxy.HeldConnection) error {
+	idle := time.AfterFunc(s.HoldTimeout, func() {
+		// Closing the stream ends the wait for a command.
+		_ = stream.Close()
+	})
+	defer idle.Stop()
+	for {
+		var next command
+		err := stream.MsgRecv(&next, s.codec)
+		idle.Stop()
+		if err != nil || next.Execution == nil {
+			held.Release()
+			return nil
+		}
+		released := false
+		executed, err := s.work(stream, func() (executed proxy.Executed) {
+			executed, released = held.Execute(stream.Context(), *next.Execution)
+			return executed
+		})
+		if err == nil {
+			err = s.send(stream, &reply{Executed: executed, Held: !released})
+		}
+		if released {
+			return err
+		}
+		if err != nil {
+			held.Release()
+			return err
+		}
+		idle.Reset(s.HoldTimeout)
+	}
+}
+
+// work calls execute and reports meanwhile that the host is working. It returns after
+// execute, also if the stream has ended.
+func (s *Server) work(stream drpc.Stream, execute func() proxy.Executed) (*proxy.Executed, error) {
+	done := make(chan proxy.Executed, 1)
+	go func() { done <- execute() }()
+	ticker := time.NewTicker(workingInterval)
+	defer ticker.Stop()
+	var sendErr error
+	for {
+		select {
+		case executed := <-done:
+			return &executed, sendErr
+		case <-ticker.C:
+			if sendErr == nil {
+				sendErr = s.send(stream, &reply{})
+			}
+		}
+	}
+}
+
+func (s *Server) send(stream drpc.Stream, r *reply) error {
+	if err := stream.MsgSend(r, s.codec); err != nil {
+		return fmt.Errorf("send reply: %w", err)
+	}
+	return nil
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+	"storj.io/drpc"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 )
@@ -40,6 +41,8 @@
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
+		// Texts of clients are passed on as they are.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		return nil, fmt.Errorf("decoding options: %w", err)
@@ -48,7 +51,7 @@
 }
 
 // Marshal implements drpc.Encoding.
-func (c *Codec) Marshal(msg any) ([]byte, error) {
+func (c *Codec) Marshal(msg drpc.Message) ([]byte, error) {
 	encoded, err := c.encode.Marshal(msg)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", msg, err)
@@ -57,7 +60,7 @@
 }
 
 // Unmarshal implements drpc.Encoding. It validates a message after decoding it.
-func (c *Codec) Unmarshal(buf []byte, msg any) error {
+func (c *Codec) Unmarshal(buf []byte, msg drpc.Message) error {
 	if len(buf) > MaxMessageSize {
 		return eris.Errorf("message of %d bytes: at most %d are allowed", len(buf), MaxMessageSize)
 	}
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -45,22 +45,22 @@
 
 // Statement is one statement of a session.
 type Statement struct {
-	ID   RequestID
-	Verb Verb
+	ID   RequestID `cbor:"1,keyasint,omitempty"`
+	Verb Verb      `cbor:"2,keyasint"`
 	// Name is the name of the session value or prepared statement that the
 	// statement sets or uses.
-	Name string
+	Name string `cbor:"3,keyasint,omitempty"`
 	// Writes reports, for a Prepare, that the prepared statement writes.
-	Writes bool
+	Writes bool `cbor:"4,keyasint,omitempty"`
 	// Text is the statement as the client sent it. It is forwarded unchanged, except
 	// that Alias replaces Name.
-	Text string
+	Text string `cbor:"5,keyasint,omitempty"`
 	// Alias is the name under which instances know a prepared statement; empty to use
 	// Name. Sessions share connections and choose the same names, so each definition
 	// has an alias of its own.
-	Alias string
+	Alias string `cbor:"6,keyasint,omitempty"`
 	// Term is the new term of a StepDown.
-	Term Term
+	Term Term `cbor:"7,keyasint,omitempty"`
 }
 
 // TransactionState is the transaction state of a session after a statement.
@@ -140,11 +140,11 @@
 
 // Failure is the error of a failed or refused statement.
 type Failure struct {
-	Code Code
-	Text string
+	Code Code   `cbor:"1,keyasint"`
+	Text string `cbor:"2,keyasint,omitempty"`
 	// RetryAfter is the time after which the client should retry; zero if waiting
 	// does not help.
-	RetryAfter time.Duration
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Error returns the code and the text.
@@ -152,24 +152,24 @@
 
 // Answer is the complete answer to one statement.
 type Answer struct {
-	Rows []string
+	Rows []string `cbor:"1,keyasint,omitempty"`
 	// Signature proves that the instance ran the statement. It is empty if the host
 	// answered the statement itself.
-	Signature string
+	Signature string `cbor:"2,keyasint,omitempty"`
 	// Failure is nil for a successful statement.
-	Failure *Failure
-	State   TransactionState
+	Failure *Failure         `cbor:"3,keyasint,omitempty"`
+	State   TransactionState `cbor:"4,keyasint,omitempty"`
 	// Position is the log position of the instance that answered, or nil if it is
 	// not known.
-	Position *Bookmark
+	Position *Bookmark `cbor:"5,keyasint,omitempty"`
 }
 
 // Command is a statement as it is sent to an instance.
 type Command struct {
-	Statement Statement
+	Statement Statement `cbor:"1,keyasint"`
 	// After is the minimum position: the instance refuses the statement with Lagging
 	// if its log does not contain it. Nil sets no minimum.
-	After *Bookmark
+	After *Bookmark `cbor:"2,keyasint,omitempty"`
 }
 
 // Connection is a connection to an instance. Only one goroutine may use it at a
