--- a/internal/emulator/deployment/deployment.go
+++ b/internal/emulator/deployment/deployment.go
@@ -180,5 +180,5 @@
 address = %q
 [cloud_api]
 address = %q
-`, name, zone, ip, firstPort+2, firstPort+2, ip, firstPort, ip, firstPort+1, store, promotion)
+`, name, zone, ip, firstPort+2, firstPort+3, ip, firstPort, ip, firstPort+1, store, promotion)
 }
--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -9,6 +9,7 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/freshness"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/placement"
 )
 
 // confirmationMargin is subtracted from the maximum age of a confirmation. It covers
@@ -72,6 +73,12 @@
 	positionHistories map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
+	// holders caches the holders of instances, and candidates the hosts among which they
+	// are chosen; nil if they have to be computed.
+	holders    map[proxy.InstanceID][]proxy.HostID
+	candidates []placement.Candidate
+	// routesChanged is closed and replaced when instances or primaries change.
+	routesChanged chan struct{}
 	// registeredAt is when the host had confirmed that its own entry is in the store.
 	// countedFrom is when all other hosts take the entry into account. Both are zero
 	// while the host is not registered.
@@ -93,6 +100,8 @@
 		instances:         make(map[proxy.InstanceID]*registeredInstance),
 		positionHistories: make(map[proxy.GroupID]*freshness.History),
 		members:           make(map[proxy.HostID]*member),
+		holders:           make(map[proxy.InstanceID][]proxy.HostID),
+		routesChanged:     make(chan struct{}),
 		votes:             make(map[proxy.InstanceID]vote),
 		attempts:          make(map[proxy.GroupID]*failoverAttempt),
 		suspectedSince:    make(map[proxy.InstanceID]proxy.Instant),
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
-	"hash/maphash"
 	"maps"
 	randv2 "math/rand/v2"
 	"net"
@@ -17,13 +16,14 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/auburnyoke/auburnyoke/internal/forward"
 	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/balance"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/dispatch"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
 const (
@@ -74,6 +74,9 @@
 
 	clusterState *clusterState
 	table        *dispatch.Table
+	balance      *balance.Table
+	forwarder    *forward.Client
+	stopForward  func()
 	allowances   *allowance.Table
 	peerEndpoint *peering.Endpoint
 
@@ -94,14 +97,15 @@
 	// are guarded by the lock of the cluster state.
 	rateShareInUse, membersChanged bool
 	lastSessionID                  atomic.Uint64
-	openClients                    atomic.Int64
+	// served counts the commands and held connections of other hosts.
+	served      atomic.Int64
+	openClients atomic.Int64
 	// stopping reports that the host was told to stop, closing that it also closes its
 	// sessions.
 	stopping, closing atomic.Bool
 	open              sessionSet
-	// logLimit and sampleSeed limit the log lines about requests; see recordAnswer.
-	logLimit   logLimit
-	sampleSeed maphash.Seed
+	// logLimit limits the log lines about requests; see recordAnswer.
+	logLimit logLimit
 }
 
 // Run serves until ctx ends and then stops gracefully within the grace time.
@@ -110,6 +114,7 @@
 		return fmt.Errorf("initialize: %w", err)
 	}
 	defer h.relayClient.CloseIdleConnections()
+	defer h.stopForward()
 	listener, stopListening, err := h.listen(ctx)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -119,7 +124,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	for _, run := range []func(context.Context){
-		h.followMembers, h.runTicks, h.runCoordinator, h.probeSuspects, h.pollHosts,
+		h.followMembers, h.runTicks, h.runCoordinator, h.probeSuspects, h.pollHosts, h.forwarder.Run,
 	} {
 		go run(work)
 	}
@@ -137,12 +142,15 @@
 		return fmt.Errorf("create incarnation: %w", err)
 	}
 	h.incarnation = incarnation
-	h.sampleSeed = maphash.MakeSeed()
 	h.Decode, h.Dialer = h.Decode.contained(), containedDialer{h.Dialer}
 	h.clusterState = newClusterState()
 	h.rejected.log, h.rejected.metrics = h.Log, h.Metrics
 	h.open.sessions = make(map[*session]struct{})
-	h.table = &dispatch.Table{Zone: h.Settings.Zone}
+	h.table = &dispatch.Table{}
+	h.balance = &balance.Table{Self: h.Settings.Host, Zone: h.Settings.Zone, Random: randv2.Float64}
+	if h.forwarder, h.stopForward, err = forward.NewClient(); err != nil {
+		return fmt.Errorf("create client of other hosts: %w", err)
+	}
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandoverDelay: joinWait}
 	h.peerEndpoint = &peering.Endpoint{
 		Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
@@ -175,6 +183,7 @@
 	for _, open := range []func() (func(), error){
 		func() (func(), error) { return h.serveRelay(ctx) },
 		func() (func(), error) { return h.peerEndpoint.Listen(h.Settings.Peer) },
+		func() (func(), error) { return h.serveForward(ctx) },
 		func() (func(), error) { return h.serveReady(ctx) },
 	} {
 		closeOne, err := open()
@@ -276,7 +285,7 @@
 		return
 	}
 	if answers[0].Failure != nil {
-		h.discardUnneeded(c)
+		h.discard(c, dispatch.Unneeded)
 		return
 	}
 	c.Values, c.Prepared = nil, nil
@@ -290,43 +299,6 @@
 	}
 }
 
-// updateDispatch passes the current configuration, instances and leaderships to the
-// dispatch table.
-func (h *Host) updateDispatch() {
-	h.applying.Lock()
-	defer h.applying.Unlock()
-	now := h.Clock.Now()
-	cs := h.clusterState
-	cs.mu.Lock()
-	hosts := max(len(cs.members), 1)
-	configuration := cs.configuration
-	var members []dispatch.Member
-	for _, i := range cs.instances {
-		if configuration == nil {
-			break
-		}
-		group, ok := configuration.Groups[i.Group]
-		if !ok || i.retired {
-			continue
-		}
-		share := group.Connections / hosts
-		members = append(members, dispatch.Member{Instance: i.Instance, Share: share})
-	}
-	primaries := make(map[proxy.GroupID]proxy.InstanceID, len(cs.leaderships))
-	leaderlessUntil := make(map[proxy.GroupID]proxy.Instant)
-	for id, l := range cs.leaderships {
-		primaries[id], leaderlessUntil[id] = "", l.failoverStart.Add(cs.failoverTime)
-		if l.record.Phase == failover.Settled {
-			primaries[id] = l.record.Primary
-		}
-	}
-	cs.mu.Unlock()
-	closeAll(h.table.Update(now, members))
-	for id, primary := range primaries {
-		h.table.SetPrimary(now, id, primary, leaderlessUntil[id])
-	}
-}
-
 // updateAllowances passes the current hosts and accounts to the allowance table,
 // which divides the accounts' rates among the hosts.
 func (h *Host) updateAllowances() {
--- a/internal/entry/inspect.go
+++ b/internal/entry/inspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/rotisserie/eris"
@@ -52,7 +53,9 @@
 	if !ok {
 		return false
 	}
-	if _, err := h.inspect(i.Instance); err != nil {
+	// An instance that refuses a connection or the statement has answered.
+	var failure *proxy.Failure
+	if _, err := h.inspect(i.Instance); err != nil && !errors.As(err, &failure) {
 		cs.addSuspect(h.Clock.Now(), id)
 		return false
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
-	"hash/maphash"
 	"io"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
@@ -85,7 +85,7 @@
 	now := h.Clock.Now()
 	h.Metrics.countAnswer(answer, now.Sub(arrived))
 	if answer.Failure == nil {
-		if st.ID == "" || maphash.String(h.sampleSeed, string(st.ID))%successSampling != 0 {
+		if !sampled(st.ID) {
 			return
 		}
 	} else if !h.logLimit.allow(now) {
@@ -109,6 +109,39 @@
 	event.Msg("request answered")
 }
 
+// sampled reports whether a successful request is logged. All hosts log the same ones, so
+// that a request is logged on each host that it passed.
+func sampled(id proxy.RequestID) bool {
+	return id != "" && xxhash.Sum64String(string(id))%successSampling == 0
+}
+
+// recordServed updates the metrics for a command of another host. It logs the command if
+// it failed or is in the sample.
+func (h *Host) recordServed(e proxy.Execution, result proxy.Executed) {
+	h.Metrics.commandsServed.Inc(1)
+	now := h.Clock.Now()
+	failed := result.Answer == nil || result.Answer.Failure != nil
+	switch {
+	case !failed && !sampled(e.Command.Statement.ID):
+		return
+	case failed && !h.logLimit.allow(now):
+		h.Metrics.unlogged.Inc(1)
+		return
+	}
+	event := h.Log.Info().Str("request", string(e.Command.Statement.ID)).Str("verb", e.Command.Statement.Verb.String()).
+		Str("instance", string(e.Instance)).Str("account", string(e.Account)).Dur("waited", result.Waited).
+		Int("queue", result.Load.Waiting)
+	switch {
+	case result.Refusal != nil:
+		event = event.Str("cause", result.Refusal.Cause.String()).Str("text", result.Refusal.Failure.Text)
+	case result.Unknown != "":
+		event = event.Str("unknown", result.Unknown)
+	case result.Answer.Failure != nil:
+		event = event.Str("code", result.Answer.Failure.Code.String())
+	}
+	event.Msg("command run for another host")
+}
+
 // fields adds to a log line how the statement was processed.
 func (t trace) fields(event *zerolog.Event) *zerolog.Event {
 	if t.account != "" {
@@ -117,7 +150,7 @@
 	if t.tries == 0 && t.waited == 0 {
 		return event
 	}
-	event = event.Str("instance", string(t.instance)).Int("tries", t.tries).Dur("waited", t.waited)
+	event = event.Str("instance", string(t.instance)).Str("via", string(t.via)).Int("tries", t.tries).Dur("waited", t.waited)
 	if t.after != nil {
 		event = event.Uint64("term", uint64(t.after.Term)).Uint64("after", uint64(t.after.Position))
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -47,6 +47,8 @@
 	Zone    proxy.Zone `json:"zone"`
 	// Link is the bandwidth of the host's network link; zero if it is not known.
 	Link proxy.MegabitsPerSecond `json:"link,omitempty"`
+	// Forward is where the host runs commands for other hosts; empty if it does not.
+	Forward string `json:"forward,omitempty"`
 }
 
 // Validate checks an entry that was read from the store.
@@ -54,6 +56,11 @@
 	if _, err := netip.ParseAddrPort(e.Address); err != nil {
 		return fmt.Errorf("address of a host: %w", err)
 	}
+	if e.Forward != "" {
+		if _, err := netip.ParseAddrPort(e.Forward); err != nil {
+			return fmt.Errorf("forward address of a host: %w", err)
+		}
+	}
 	if e.Zone == "" {
 		return eris.New("host without an availability zone")
 	}
@@ -99,6 +106,9 @@
 // it, and reports whether the entry is in the store.
 func (h *Host) register(ctx context.Context) bool {
 	entry := HostEntry{Address: h.Settings.Peer.String(), Zone: h.Settings.Zone, Link: h.Settings.Link}
+	if h.Settings.Forward.IsValid() {
+		entry.Forward = h.Settings.Forward.String()
+	}
 	record, err := h.Store.Write(ctx, memberKind, string(h.Settings.Host), entry, 0)
 	if errors.Is(err, proxy.ErrConflict) && record.Version != 0 {
 		if old, decodeErr := decodeHostEntry(record); decodeErr != nil || old != entry {
@@ -154,6 +164,9 @@
 		changed = h.recordMemberLocked(proxy.HostID(record.Name), record) || changed
 	}
 	h.membersChanged = h.membersChanged || changed
+	if changed {
+		cs.forgetHoldersLocked()
+	}
 	own := cs.members[h.Settings.Host]
 	hosts := len(cs.members)
 	cs.mu.Unlock()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,7 +35,7 @@
 	Registry metrics.Registry
 
 	served, connectionOpened, connectionFull, connectionBroken,
-	retried, unlogged, storeReads, recordsRejected, sessionsPanicked metrics.Counter
+	retried, unlogged, storeReads, recordsRejected, sessionsPanicked, forwarded, forwardedFailed, commandsServed metrics.Counter
 	codes         map[proxy.Code]metrics.Counter
 	instanceCodes map[proxy.Code]metrics.Counter
 	latency       metrics.Histogram
@@ -61,6 +61,9 @@
 		"store.reads":        &m.storeReads,
 		"records.rejected":   &m.recordsRejected,
 		"sessions.panicked":  &m.sessionsPanicked,
+		"commands.forwarded": &m.forwarded,
+		"commands.lost":      &m.forwardedFailed,
+		"commands.served":    &m.commandsServed,
 	} {
 		*counter = metrics.NewCounter()
 		m.register(name, *counter)
--- a/internal/entry/panic.go
+++ b/internal/entry/panic.go
@@ -14,6 +14,7 @@
 // sharedCode lists the code that changes state which sessions share.
 var sharedCode = []string{
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/dispatch.",
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/balance.",
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/allowance.",
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/freshness.",
 	"github.com/auburnyoke/auburnyoke/internal/peering.",
@@ -45,24 +46,17 @@
 			<-t.opened
 		}
 		s.host.endPrimaryOperation(t)
+		if t.connection != nil {
+			t.connection.Release()
+		}
 		s.transaction = nil
 	}
-	s.abandonConnection()
 	if s.serving && s.trace.tries > 0 {
 		// An error means that the client is gone.
 		_ = s.clientConn.Reply(s.fail(proxy.InDoubt, "host failed while it ran the statement"))
 	}
 }
 
-// abandonConnection closes the connection that the session has acquired and not
-// released. The instance rolls back what is open on it.
-func (s *session) abandonConnection() {
-	c := s.acquired
-	if c != nil && s.host.table.Abandon(s.host.Clock.Now(), c) && c.Conn != nil {
-		c.Conn.Close()
-	}
-}
-
 // contained returns decoders whose panics are errors.
 func (d Decoders) contained() Decoders {
 	contained := d
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/balance"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/dispatch"
 )
 
 // session is a client's connection with its values and prepared statements.
@@ -37,8 +37,8 @@
 	position *proxy.Bookmark
 	// trace is what the log line of the current statement reports.
 	trace trace
-	// acquired is the connection that was acquired last. It may be released.
-	acquired *dispatch.Connection
+	// valuesSize is the size of the values, in bytes.
+	valuesSize int
 
 	mu sync.Mutex
 	// serving reports that a statement is being processed, interruptSent that a
@@ -51,9 +51,12 @@
 	request proxy.RequestID
 	// account is the account whose allowance was used; empty for none.
 	account proxy.AccountID
-	// instance is the last instance that the statement was sent to, tries the number
-	// of times that it was sent.
+	// group is the database group of the statement.
+	group proxy.GroupID
+	// instance is the last instance that the statement was sent to, via the host whose
+	// connection was used, tries the number of times that it was sent.
 	instance proxy.InstanceID
+	via      proxy.HostID
 	tries    int
 	// waited is how long the statement waited for connections.
 	waited time.Duration
@@ -84,8 +87,10 @@
 	// opened is closed when the transaction has begun on connection, or could not
 	// begin because of refusal.
 	opened     chan struct{}
-	connection *dispatch.Connection
+	connection proxy.HeldConnection
 	refusal    *proxy.Failure
+	// choice is the instance of the connection and the host that holds it.
+	choice balance.Choice
 	// leadershipVersion is the version of the leadership record under which the
 	// transaction uses the primary; zero if it does not depend on the primary.
 	leadershipVersion proxy.Version
@@ -306,10 +311,11 @@
 	}
 	switch st.Verb {
 	case proxy.SetValue:
+		s.valuesSize += len(st.Text) - len(s.values[st.Name])
 		s.values[st.Name] = st.Text
 	case proxy.Prepare:
 		s.definitions++
-		st.Alias = fmt.Sprintf("s%d-%d", s.id, s.definitions)
+		st.Alias = fmt.Sprintf("s%x-%d-%d", uint64(s.host.incarnation), s.id, s.definitions)
 		s.prepared[st.Name] = st
 	default:
 		delete(s.prepared, st.Name)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,6 +22,9 @@
 	Metrics string
 	// Peer is the address and port for requests of other hosts, over TCP and UDP.
 	Peer netip.AddrPort
+	// Forward is the address and port for commands that other hosts run over this host's
+	// connections, over TCP; not valid for none.
+	Forward netip.AddrPort
 	// Store and Orders are the addresses of the platform's store and of its API for
 	// promotion requests.
 	Store  string
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -11,6 +11,9 @@
 	// is closed before is likely to come back to this host, since the load balancer
 	// chooses a host by the client.
 	deregistrationDelay = 2500 * time.Millisecond
+	// handoverDelay is how long after the signal other hosts still send commands to this
+	// one: those that have not heard yet that it is about to stop.
+	handoverDelay = 200 * time.Millisecond
 	// stopMargin is how long before the end of the grace time the host ends.
 	stopMargin = 400 * time.Millisecond
 	// closeSpan is the time over which the closing of idle sessions is spread, and
@@ -25,19 +28,23 @@
 
 // stop ends the host gracefully: it makes the readiness probe fail and serves until the
 // load balancer sends no new connections. Then it closes sessions when they are between
-// operations, and waits for open transactions and for the failovers that it coordinates,
-// since another host would only take them over after a time.
+// operations, and waits for open transactions, for the commands of other hosts and for the
+// failovers that it coordinates, since another host would only take them over after a
+// time.
 func (h *Host) stop(listener net.Listener) {
 	start := h.Clock.Now()
 	h.stopping.Store(true)
 	h.Log.Info().Int("sessions", len(h.open.list())).Msg("host stops")
 	end := start.Add(h.Settings.Grace - stopMargin)
-	time.Sleep(min(deregistrationDelay, h.Settings.Grace/2))
+	time.Sleep(handoverDelay)
+	// Other hosts hold the connections from now on and need room for them.
+	closeAll(h.table.CloseIdle())
+	time.Sleep(min(deregistrationDelay, h.Settings.Grace/2) - handoverDelay)
 	h.closing.Store(true)
 	_ = listener.Close()
 	for h.Clock.Now() < end {
 		open := h.open.list()
-		if len(open) == 0 && !h.clusterState.coordinating() {
+		if len(open) == 0 && h.served.Load() == 0 && !h.clusterState.coordinating() {
 			break
 		}
 		pause := min(closeSpan/time.Duration(len(open)+1), maxCloseInterval)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -134,7 +134,7 @@
 	answer, err := c.exchange(&e, silenceLimited)
 	if err != nil {
 		c.abort()
-		return proxy.Executed{Unknown: "host did not answer: " + err.Error()}, false
+		return proxy.Executed{Unknown: "host did not answer: " + err.Error(), Lost: true}, false
 	}
 	if !answer.Held {
 		c.end()
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -62,3 +63,25 @@
 	}
 	return nil
 }
+
+// Pending looks at what a connection has received, without waiting. It reports whether
+// there are bytes that were not read yet, and whether the connection has ended or has
+// such bytes. It removes the read deadline.
+func Pending(conn net.Conn) (bytes, changed bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok || conn.SetReadDeadline(time.Time{}) != nil {
+		return false, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false, true
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		bytes = peekErr == nil && n > 0
+		changed = peekErr == nil || !errors.Is(peekErr, unix.EAGAIN) && !errors.Is(peekErr, unix.EINTR)
+		return true
+	})
+	return bytes, changed || err != nil
+}
--- /dev/null
+++ b/pkg/proxy/balance/balance.go
@@ -0,0 +1,295 @@
+// Package balance chooses the instance for an operation, and the host whose connection to
+// that instance runs it.
+//
+// Where hosts share the few connections that an instance accepts, each instance has
+// holders: hosts that keep connections to it and let its operations wait in one queue.
+// The others send their operations to a holder. A holder that does not answer is left out
+// for some time and the next one is used; if none is left, the host uses connections of
+// its own.
+//
+// A host sees little of the load of an instance that many hosts use. It knows what its own
+// operations met a short time ago, and accepts only a short wait at the first instance as
+// long as another one may serve the operation sooner.
+package balance
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburnyoke/auburnyoke/pkg/proxy"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
+)
+
+const (
+	// initialService is the assumed time of an operation on an instance, without waits,
+	// until one has been measured.
+	initialService = 15 * time.Millisecond
+	// crossZoneDelay is added to that for an instance in another availability zone. It is
+	// a round trip with 4.5 ms in each direction.
+	crossZoneDelay = 9 * time.Millisecond
+	// primaryReadPenalty is added for reads on the primary. It directs reads that a
+	// replica can serve away from the primary, the only instance that serves writes.
+	primaryReadPenalty = 15 * time.Millisecond
+	// serviceSmoothing is the weight of a new measurement in the moving average.
+	serviceSmoothing = 0.15
+	// loadValidity is how long a reported wait counts. It loses weight evenly until then.
+	loadValidity = 300 * time.Millisecond
+	// minPatience is the least wait that is accepted at any instance.
+	minPatience = 15 * time.Millisecond
+	// jitter is the range of the random part of an estimate, which spreads the operations
+	// of many hosts over instances that look alike.
+	jitter = 4 * time.Millisecond
+	// lagExclusionTime is how long a replica gets no reads after it answered that it
+	// has not replayed the required position.
+	lagExclusionTime = 300 * time.Millisecond
+	// exclusionTime is how long a host, or an instance as seen from a host, is left out
+	// after a failure. It doubles on repeated failures up to maxExclusionTime.
+	exclusionTime    = 200 * time.Millisecond
+	maxExclusionTime = 2 * time.Second
+	// leavingTime is how long a host that is about to stop is left out.
+	leavingTime = 4 * time.Second
+)
+
+// Member is an instance in use.
+type Member struct {
+	directory.Instance
+	// Holders are the hosts that hold connections to the instance, in the order in which
+	// they are preferred. Without holders, each host uses connections of its own.
+	Holders []proxy.HostID
+}
+
+// Request describes an operation.
+type Request struct {
+	Group proxy.GroupID
+	// Primary restricts the choice to the group's primary.
+	Primary bool
+	// Avoid lists instances on which this operation has failed.
+	Avoid []proxy.InstanceID
+	// Insistent accepts any wait: the operation was refused at the other instances.
+	Insistent bool
+}
+
+// Choice is an instance and the host whose connection is used.
+type Choice struct {
+	Instance proxy.InstanceID
+	Zone     proxy.Zone
+	Host     proxy.HostID
+	// Patience is the longest wait that the operation accepts; zero for no limit.
+	Patience time.Duration
+}
+
+// Table holds what this host knows of the instances and the other hosts. Its exported
+// fields are set before use. It is safe for concurrent use.
+type Table struct {
+	Self proxy.HostID
+	Zone proxy.Zone
+	// Random returns a random number from 0 to below 1.
+	Random func() float64
+
+	mu        sync.Mutex
+	instances map[proxy.InstanceID]*instance
+	groups    map[proxy.GroupID][]*instance
+	hosts     map[proxy.HostID]*exclusion
+	primaries map[proxy.GroupID]proxy.InstanceID
+}
+
+type instance struct {
+	Member
+	// service is the moving average of the time of an operation without its wait.
+	service time.Duration
+	// wait is the wait that was reported at reportedAt.
+	wait       time.Duration
+	reportedAt proxy.Instant
+	// outstanding counts this host's operations on the instance.
+	outstanding  int
+	laggingUntil proxy.Instant
+	// unreachable are the hosts from which the instance was not reached.
+	unreachable map[proxy.HostID]*exclusion
+}
+
+// exclusion is the time for which something is left out after failures.
+type exclusion struct {
+	until    proxy.Instant
+	failures int
+}
+
+func (e *exclusion) fail(now proxy.Instant) {
+	e.until = now.Add(min(exclusionTime<<min(e.failures, 4), maxExclusionTime))
+	e.failures++
+}
+
+// Update sets the instances in use.
+func (t *Table) Update(members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := make(map[proxy.InstanceID]*instance, len(members))
+	t.groups = make(map[proxy.GroupID][]*instance)
+	for _, m := range members {
+		i := t.instances[m.ID]
+		if i == nil || i.Address != m.Address || i.Born != m.Born || i.Group != m.Group {
+			i = &instance{service: initialService, unreachable: make(map[proxy.HostID]*exclusion)}
+			if m.Zone != t.Zone {
+				i.service += crossZoneDelay
+			}
+		}
+		i.Member = m
+		known[m.ID] = i
+		t.groups[m.Group] = append(t.groups[m.Group], i)
+	}
+	t.instances = known
+}
+
+// SetPrimary sets the primary of a group; empty while it has none.
+func (t *Table) SetPrimary(id proxy.GroupID, primary proxy.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.primaries == nil {
+		t.primaries = make(map[proxy.GroupID]proxy.InstanceID)
+	}
+	t.primaries[id] = primary
+}
+
+// Choose returns the instance with the lowest expected delay and the host to use. It
+// returns false if no instance is usable.
+func (t *Table) Choose(now proxy.Instant, request Request) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best, second *instance
+	var lowest, next time.Duration
+	for _, i := range t.groups[request.Group] {
+		if !t.usable(now, i, &request) {
+			continue
+		}
+		delay := t.expectedDelay(now, i, &request)
+		switch {
+		case best == nil || delay < lowest:
+			second, next = best, lowest
+			best, lowest = i, delay
+		case second == nil || delay < next:
+			second, next = i, delay
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	choice := Choice{Instance: best.ID, Zone: best.Zone, Host: t.host(now, best)}
+	if second != nil && !request.Insistent {
+		choice.Patience = max(next-lowest+best.expectedWait(now), minPatience)
+	}
+	return choice, true
+}
+
+func (t *Table) usable(now proxy.Instant, i *instance, request *Request) bool {
+	if request.Primary {
+		return i.ID == t.primaries[i.Group]
+	}
+	return !i.Leaving && now >= i.laggingUntil && !slices.Contains(request.Avoid, i.ID)
+}
+
+// expectedDelay estimates how long an operation takes on an instance.
+func (t *Table) expectedDelay(now proxy.Instant, i *instance, request *Request) time.Duration {
+	delay := i.service + i.expectedWait(now) + time.Duration(t.Random()*float64(jitter))
+	if i.ID == t.primaries[i.Group] && !request.Primary {
+		delay += primaryReadPenalty
+	}
+	return delay
+}
+
+// expectedWait estimates how long an operation waits for others: those of which a holder
+// has reported, and the own ones that have no answer yet.
+func (i *instance) expectedWait(now proxy.Instant) time.Duration {
+	wait := i.service * time.Duration(max(i.outstanding-i.Slots+1, 0)) / time.Duration(max(i.Slots, 1))
+	if age := now.Sub(i.reportedAt); i.reportedAt != 0 && age < loadValidity {
+		wait = max(wait, time.Duration(float64(i.wait)*(1-float64(age)/float64(loadValidity))))
+	}
+	return wait
+}
+
+// host returns the host whose connection to an instance is used.
+func (t *Table) host(now proxy.Instant, i *instance) proxy.HostID {
+	for _, id := range i.Holders {
+		if id == t.Self {
+			return id
+		}
+		down, unreachable := t.hosts[id], i.unreachable[id]
+		if (down == nil || now >= down.until) && (unreachable == nil || now >= unreachable.until) {
+			return id
+		}
+	}
+	return t.Self
+}
+
+// Start records that an operation is sent.
+func (t *Table) Start(choice Choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.instances[choice.Instance]; i != nil {
+		i.outstanding++
+	}
+}
+
+// Finish records the result of an operation that Start has recorded. It took the given
+// time, including its wait.
+func (t *Table) Finish(now proxy.Instant, choice Choice, result proxy.Executed, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.instances[choice.Instance]
+	if i != nil {
+		i.outstanding = max(i.outstanding-1, 0)
+		i.recordLoad(now, result)
+	}
+	remote := choice.Host != t.Self
+	switch {
+	case result.Answer != nil:
+		if i != nil {
+			i.service += time.Duration(serviceSmoothing * float64(took-result.Waited-i.service))
+			delete(i.unreachable, choice.Host)
+		}
+		if e := t.hosts[choice.Host]; e != nil && !result.Leaving && now >= e.until {
+			delete(t.hosts, choice.Host)
+		}
+	case result.Unknown != "" && result.Lost, result.Refusal != nil && result.Refusal.Cause == proxy.Disconnected:
+		t.hostExclusion(choice.Host).fail(now)
+	case result.Refusal != nil && remote && i != nil &&
+		(result.Refusal.Cause == proxy.Unreachable || result.Refusal.Cause == proxy.Unserved):
+		i.hostExclusion(choice.Host).fail(now)
+	}
+	if remote && result.Leaving {
+		t.hostExclusion(choice.Host).until = now.Add(leavingTime)
+	}
+}
+
+// recordLoad records the wait that a holder reports.
+func (i *instance) recordLoad(now proxy.Instant, result proxy.Executed) {
+	if result.Answer == nil && (result.Refusal == nil || result.Refusal.Cause != proxy.Crowded) {
+		return
+	}
+	i.wait, i.reportedAt = result.Load.Wait, now
+}
+
+func (t *Table) hostExclusion(id proxy.HostID) *exclusion {
+	if t.hosts == nil {
+		t.hosts = make(map[proxy.HostID]*exclusion)
+	}
+	if t.hosts[id] == nil {
+		t.hosts[id] = &exclusion{}
+	}
+	return t.hosts[id]
+}
+
+func (i *instance) hostExclusion(id proxy.HostID) *exclusion {
+	if i.unreachable[id] == nil {
+		i.unreachable[id] = &exclusion{}
+	}
+	return i.unreachable[id]
+}
+
+// MarkLagging records that a replica has not replayed a required position.
+func (t *Table) MarkLagging(now proxy.Instant, id proxy.InstanceID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.instances[id]; i != nil {
+		i.laggingUntil = now.Add(lagExclusionTime)
+	}
+}
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -1,12 +1,12 @@
-// Package dispatch chooses the instance connection on which an operation runs
-// and orders the operations that wait for one.
+// Package dispatch orders the operations that wait for the connections of a host to
+// instances.
 //
 // Instances run few statements at once and accept few connections. Each connection
-// serves one account and is expensive to open, and many hosts share the instances
-// with little information about each other. A host therefore runs about as many of
-// its own statements on an instance as the instance has slots, and lets the others
-// wait here. While an operation waits, its instance and its place in the order can
-// still change, and a refusal can state with certainty that the operation has not run.
+// serves one account and is expensive to open. A host therefore runs at most as many
+// statements on an instance as the instance has slots, and lets the others wait here:
+// those that can still be in time before those that cannot, then by priority and due
+// time. While an operation waits, a refusal can state with certainty that it has not
+// run; one that is not expected to get a connection in its time is refused at once.
 package dispatch
 
 import (
@@ -17,59 +17,47 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 )
 
-// Delays for estimating how long an operation takes on each instance.
 const (
-	// initialDelay is assumed for an instance that has not answered yet. It is about
-	// the usual duration of a statement.
+	// initialDelay is the assumed duration of a statement on an instance that has not
+	// answered yet.
 	initialDelay = 15 * time.Millisecond
-	// crossZoneDelay is added to the assumed delay of an instance in another
-	// availability zone. It is a round trip with 4.5 ms in each direction.
-	crossZoneDelay = 9 * time.Millisecond
-	// connectDelay is the time to open a connection: two round trips and 12 ms of
-	// work on the instance.
-	connectDelay = 25 * time.Millisecond
-	// primaryReadPenalty is added for reads on the primary. It directs reads that a
-	// replica can serve away from the primary, the only instance that serves writes.
-	primaryReadPenalty = 15 * time.Millisecond
 	// delaySmoothing is the weight of a new measurement in the moving average.
 	delaySmoothing = 0.15
 )
 
 const (
 	// exclusionTime is how long an instance is excluded after a failed connection
-	// attempt or a broken connection.
+	// attempt.
 	exclusionTime = 300 * time.Millisecond
 	// maxExclusionTime limits the exclusion time, which doubles on repeated failures.
 	maxExclusionTime = 2 * time.Second
 	// openRetryDelay is how long no connection is opened after an instance refused
 	// one. Another host must close a connection first.
 	openRetryDelay = 100 * time.Millisecond
-	// lagExclusionTime is how long a replica gets no reads after it answered that it
-	// has not replayed the required position.
-	lagExclusionTime = 300 * time.Millisecond
 	// excessIdleTime is how long an idle connection above the host's share of an
-	// instance is kept. Such connections exist where instances accept fewer
-	// connections than there are hosts.
+	// instance is kept.
 	excessIdleTime = 400 * time.Millisecond
 	// zeroShareLimit is the connection limit of a host whose share is zero: one
 	// connection for a transaction and one for other statements.
 	zeroShareLimit = 2
+	// accountShareLimit is the connection limit from which one account may use at most
+	// half of the connections, so that it does not push out those of the others.
+	accountShareLimit = 4
 )
 
-// Request describes an operation that needs a connection.
+// Request describes an operation that needs a connection to an instance.
 type Request struct {
-	Group   proxy.GroupID
-	Account proxy.AccountID
-	// Primary restricts the choice to the group's primary.
-	Primary bool
-	// Avoid lists instances on which this operation has failed.
-	Avoid []proxy.InstanceID
+	Instance proxy.InstanceID
+	Account  proxy.AccountID
 	// Priority is lower for more urgent operations.
 	Priority int
 	// Due is the instant by which the operation should be answered.
 	Due proxy.Instant
 	// Expires is the last instant at which a connection is still useful.
 	Expires proxy.Instant
+	// Patience is the longest expected wait at which the operation is queued; zero for no
+	// limit but Expires.
+	Patience time.Duration
 }
 
 // Connection is a connection to an instance that the table manages. Its exported
@@ -104,20 +92,19 @@
 
 // instance is the state of an instance in the table.
 type instance struct {
-	directory.Instance
-	// share is the number of connections that the host may keep open; zero if the
-	// instance accepts fewer connections than there are hosts.
-	share int
+	Member
 	// open counts the connections that are acquired, idle or being opened.
 	open    int
 	running int
+	// acquired counts the acquired connections by account.
+	acquired map[proxy.AccountID]int
 	// idle holds the idle connections, the least recently used first.
-	idle []*Connection
-	// excludedUntil, openAfter and laggingUntil are the instants until which the
-	// instance gets no operations, no new connections, and no operations that do not
-	// need the primary, respectively.
-	excludedUntil, openAfter, laggingUntil proxy.Instant
-	failures                               int
+	idle    []*Connection
+	waiters []*Waiter
+	// excludedUntil and openAfter are the instants until which the instance gets no
+	// operations and no new connections, respectively.
+	excludedUntil, openAfter proxy.Instant
+	failures                 int
 	// delay is the moving average of the duration of a statement.
 	delay time.Duration
 	// removed reports that the instance is no longer in use. Its connections are
@@ -132,27 +119,17 @@
 // statements of open transactions and for connections of AcquireIdle; open is the
 // number of acquired and idle connections.
 type Table struct {
-	// Zone is the host's availability zone.
-	Zone proxy.Zone
-
 	mu        sync.Mutex
 	instances map[proxy.InstanceID]*instance
-	groups    map[proxy.GroupID]*group
-}
-
-type group struct {
-	// primary is empty while the group has no usable primary. A new one is then
-	// expected at primaryExpected.
-	primary         proxy.InstanceID
-	primaryExpected proxy.Instant
-	instances       []*instance
-	waiters         []*Waiter
 }
 
-// Member is an instance in use. Share is the number of connections that the host may
-// keep open to it; zero if the instance accepts fewer connections than there are hosts.
+// Member is an instance in use.
 type Member struct {
 	directory.Instance
+	// OwnSlots is the number of statements that the host may run on the instance at once.
+	OwnSlots int
+	// Share is the number of connections that the host may keep open to the instance;
+	// zero if it only uses the instance when the hosts that should are not reached.
 	Share int
 }
 
@@ -170,9 +147,9 @@
 			inst = nil
 		}
 		if inst == nil {
-			inst = &instance{delay: t.assumedDelay(m.Zone)}
+			inst = &instance{delay: initialDelay, acquired: make(map[proxy.AccountID]int)}
 		}
-		inst.Instance, inst.share = m.Instance, m.Share
+		inst.Member = m
 		known[m.ID] = inst
 	}
 	for id, inst := range t.instances {
@@ -181,72 +158,45 @@
 		}
 	}
 	t.instances = known
-	t.regroup()
-	for id := range t.groups {
-		t.serveGroup(now, id)
+	for _, inst := range t.instances {
+		inst.serve(now)
 	}
 	return closed
 }
 
-func (t *Table) assumedDelay(zone proxy.Zone) time.Duration {
-	if zone != t.Zone {
-		return initialDelay + crossZoneDelay
-	}
-	return initialDelay
-}
-
 // limit returns the maximum number of open connections of the host.
 func (i *instance) limit() int {
-	if i.share == 0 {
+	if i.Share == 0 {
 		return zeroShareLimit
 	}
-	return i.share
+	return i.Share
 }
 
-// remove marks the instance as removed and returns its idle connections.
-func (i *instance) remove() []proxy.Connection {
-	i.removed = true
-	closed := make([]proxy.Connection, 0, len(i.idle))
-	for _, c := range i.idle {
-		closed = append(closed, c.Conn)
+// accountLimit returns the maximum number of connections that one account may have
+// acquired.
+func (i *instance) accountLimit() int {
+	if limit := i.limit(); limit >= accountShareLimit {
+		return limit / 2
 	}
-	i.open -= len(i.idle)
-	i.idle = nil
-	return closed
+	return i.limit()
 }
 
-func (t *Table) regroup() {
-	for _, g := range t.groups {
-		g.instances = g.instances[:0]
-	}
-	for _, inst := range t.instances {
-		g := t.group(inst.Group)
-		g.instances = append(g.instances, inst)
-	}
+// remove marks the instance as removed, refuses its waiters and returns its idle
+// connections.
+func (i *instance) remove() []proxy.Connection {
+	i.removed = true
+	i.refuseAll(unserved())
+	return i.takeIdle()
 }
 
-func (t *Table) group(id proxy.GroupID) *group {
-	if t.groups == nil {
-		t.groups = make(map[proxy.GroupID]*group)
-	}
-	g := t.groups[id]
-	if g == nil {
-		g = &group{}
-		t.groups[id] = g
+func (i *instance) takeIdle() []proxy.Connection {
+	taken := make([]proxy.Connection, 0, len(i.idle))
+	for _, c := range i.idle {
+		taken = append(taken, c.Conn)
 	}
-	return g
-}
-
-// SetPrimary sets the primary of a group. It is empty while the group has none, and a
-// new one is then expected at primaryExpected.
-func (t *Table) SetPrimary(
-	now proxy.Instant, id proxy.GroupID, primary proxy.InstanceID, primaryExpected proxy.Instant,
-) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	g := t.group(id)
-	g.primary, g.primaryExpected = primary, primaryExpected
-	t.serveGroup(now, id)
+	i.open -= len(i.idle)
+	i.idle = nil
+	return taken
 }
 
 // Release releases a connection without an open transaction. It returns the
@@ -254,25 +204,24 @@
 func (t *Table) Release(now proxy.Instant, c *Connection) []proxy.Connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.stop(now)
-	c.acquired = false
+	c.giveBack(now)
 	if c.inst.removed {
 		c.inst.open--
-		t.serveGroup(now, c.Group)
 		return []proxy.Connection{c.Conn}
 	}
 	c.lastUsed = now
 	c.inst.failures = 0
 	c.inst.idle = append(c.inst.idle, c)
-	t.serveGroup(now, c.Group)
+	c.inst.serve(now)
 	return nil
 }
 
-// Discard releases a connection that is closed or could not be opened.
-func (t *Table) Discard(now proxy.Instant, c *Connection, reason Reason) {
+// Discard releases a connection that is closed or could not be opened. It returns the
+// connections that the caller must close.
+func (t *Table) Discard(now proxy.Instant, c *Connection, reason Reason) []proxy.Connection {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.discard(now, c, reason)
+	return c.discard(now, reason)
 }
 
 // Abandon discards a connection unless it was released or discarded before. It reports
@@ -283,22 +232,28 @@
 	if !c.acquired {
 		return false
 	}
-	t.discard(now, c, Unneeded)
+	c.discard(now, Unneeded)
 	return true
 }
 
-func (t *Table) discard(now proxy.Instant, c *Connection, reason Reason) {
-	c.stop(now)
-	c.acquired = false
-	c.inst.open--
+func (c *Connection) discard(now proxy.Instant, reason Reason) []proxy.Connection {
+	c.giveBack(now)
+	inst := c.inst
+	inst.open--
+	var closed []proxy.Connection
 	switch reason {
 	case Unreachable:
-		c.inst.failures++
-		c.inst.excludedUntil = now.Add(min(exclusionTime<<min(c.inst.failures-1, 4), maxExclusionTime))
+		inst.failures++
+		inst.excludedUntil = now.Add(min(exclusionTime<<min(inst.failures-1, 4), maxExclusionTime))
+		inst.refuseAll(unreachable(inst.excludedUntil.Sub(now)))
+		closed = inst.takeIdle()
+	case Silent:
+		closed = inst.takeIdle()
 	case Exhausted:
-		c.inst.openAfter = now.Add(openRetryDelay)
+		inst.openAfter = now.Add(openRetryDelay)
 	}
-	t.serveGroup(now, c.Group)
+	inst.serve(now)
+	return closed
 }
 
 // Reason is the reason for discarding a connection.
@@ -308,25 +263,23 @@
 const (
 	// Unneeded means that the connection was closed without a failure.
 	Unneeded Reason = iota
-	// Unreachable means that the instance did not answer or broke the connection.
+	// Broken means that the connection was broken. Others may still work.
+	Broken
+	// Silent means that the instance did not answer on the connection. The others of this
+	// host may be as silent, but new ones may work.
+	Silent
+	// Unreachable means that a connection to the instance could not be opened.
 	Unreachable
 	// Exhausted means that the instance accepts no more connections.
 	Exhausted
 )
 
-// MarkLagging records that the instance has not replayed a required position.
-func (t *Table) MarkLagging(now proxy.Instant, c *Connection) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c.inst.laggingUntil = now.Add(lagExclusionTime)
-}
-
 // Pause ends a statement of an open transaction. The connection stays acquired.
 func (t *Table) Pause(now proxy.Instant, c *Connection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.stop(now)
-	t.serveGroup(now, c.Group)
+	c.inst.serve(now)
 }
 
 // Resume starts a further statement of an open transaction. It does not wait for a
@@ -337,7 +290,26 @@
 	c.start(now)
 }
 
+// take marks the connection as acquired.
+func (c *Connection) take(now proxy.Instant) {
+	c.acquired = true
+	c.inst.acquired[c.Account]++
+	c.start(now)
+}
+
+// giveBack marks the connection as no longer acquired.
+func (c *Connection) giveBack(now proxy.Instant) {
+	c.stop(now)
+	c.acquired = false
+	if c.inst.acquired[c.Account]--; c.inst.acquired[c.Account] <= 0 {
+		delete(c.inst.acquired, c.Account)
+	}
+}
+
 func (c *Connection) start(now proxy.Instant) {
+	if c.running {
+		return
+	}
 	c.running, c.started = true, now
 	c.inst.running++
 }
@@ -359,7 +331,7 @@
 	defer t.mu.Unlock()
 	var closed []proxy.Connection
 	for _, inst := range t.instances {
-		for inst.open > inst.share && len(inst.idle) > 0 && now.Sub(inst.idle[0].lastUsed) > excessIdleTime {
+		for inst.open > inst.Share && len(inst.idle) > 0 && now.Sub(inst.idle[0].lastUsed) > excessIdleTime {
 			closed = append(closed, inst.evict())
 		}
 	}
@@ -374,6 +346,18 @@
 	return conn
 }
 
+// CloseIdle removes all idle connections and returns them for the caller to close, so
+// that another host can open connections in their place.
+func (t *Table) CloseIdle() []proxy.Connection {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var closed []proxy.Connection
+	for _, inst := range t.instances {
+		closed = append(closed, inst.takeIdle()...)
+	}
+	return closed
+}
+
 // AcquireIdle acquires an idle connection to an instance without waiting for a slot.
 // It returns nil if there is none.
 func (t *Table) AcquireIdle(now proxy.Instant, id proxy.InstanceID) *Connection {
@@ -385,8 +369,7 @@
 	}
 	c := inst.idle[len(inst.idle)-1]
 	inst.idle = inst.idle[:len(inst.idle)-1]
-	c.acquired = true
-	c.start(now)
+	c.take(now)
 	return c
 }
 
@@ -395,10 +378,8 @@
 func (t *Table) Load() (waiting, running, open int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, g := range t.groups {
-		waiting += len(g.waiters)
-	}
 	for _, inst := range t.instances {
+		waiting += len(inst.waiters)
 		running += inst.running
 		open += inst.open
 	}
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -11,69 +11,124 @@
 // Waiter is an operation that waits for a connection.
 type Waiter struct {
 	request Request
-	granted chan Grant
+	inst    *instance
+	ended   chan Outcome
 }
 
-// Granted returns the channel on which the operation receives its connection. The
+// Outcome is the end of a wait: a grant, or a refusal.
+type Outcome struct {
+	Grant   Grant
+	Refusal *proxy.NotExecuted
+}
+
+// Ended returns the channel on which the operation receives the end of its wait. The
 // channel is buffered, so that the table does not wait for the operation.
-func (w *Waiter) Granted() <-chan Grant { return w.granted }
+func (w *Waiter) Ended() <-chan Outcome { return w.ended }
 
 // Acquire returns a connection if one is free. Otherwise it queues the operation and
-// returns its Waiter, or a failure if the operation is not expected to get a
-// connection before it expires.
-func (t *Table) Acquire(now proxy.Instant, request Request) (Grant, *Waiter, *proxy.Failure) {
+// returns its Waiter, or a refusal if the operation is not expected to get a connection in
+// its time.
+func (t *Table) Acquire(now proxy.Instant, request Request) (Grant, *Waiter, *proxy.NotExecuted) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	g := t.group(request.Group)
-	if grant, ok := t.tryAcquire(now, g, &request); ok {
-		return grant, nil, nil
+	inst := t.instances[request.Instance]
+	if inst == nil {
+		return Grant{}, nil, unserved()
 	}
-	w := &Waiter{request: request, granted: make(chan Grant, 1)}
-	if wait := t.expectedWait(now, g, w); now.Add(wait) > request.Expires {
-		return Grant{}, nil, &proxy.Failure{Code: proxy.Busy, Text: "expected wait is longer than the time left", RetryAfter: wait}
+	if now < inst.excludedUntil {
+		return Grant{}, nil, unreachable(inst.excludedUntil.Sub(now))
+	}
+	w := &Waiter{request: request, inst: inst, ended: make(chan Outcome, 1)}
+	inst.waiters = append(inst.waiters, w)
+	inst.serve(now)
+	select {
+	case end := <-w.ended:
+		return end.Grant, nil, nil
+	default:
+	}
+	wait := inst.expectedWait(now, w)
+	if now.Add(wait) > request.Expires || request.Patience > 0 && wait > request.Patience {
+		inst.dequeue(w)
+		return Grant{}, nil, crowded(wait)
 	}
-	g.waiters = append(g.waiters, w)
 	return Grant{}, w, nil
 }
 
+// dequeue removes an operation from the queue.
+func (i *instance) dequeue(w *Waiter) {
+	i.waiters = slices.DeleteFunc(i.waiters, func(other *Waiter) bool { return other == w })
+}
+
+func crowded(wait time.Duration) *proxy.NotExecuted {
+	return &proxy.NotExecuted{Cause: proxy.Crowded, Failure: proxy.Failure{
+		Code: proxy.Busy, Text: "expected wait is longer than the time left", RetryAfter: wait,
+	}}
+}
+
+func unreachable(retryAfter time.Duration) *proxy.NotExecuted {
+	return &proxy.NotExecuted{Cause: proxy.Unreachable, Failure: proxy.Failure{
+		Code: proxy.Busy, Text: "instance was not reached", RetryAfter: retryAfter,
+	}}
+}
+
+// unservedRetry is the time after which a client may retry an operation whose host does
+// not use the instance.
+const unservedRetry = 150 * time.Millisecond
+
+func unserved() *proxy.NotExecuted {
+	return &proxy.NotExecuted{Cause: proxy.Unserved, Failure: proxy.Failure{
+		Code: proxy.Busy, Text: "instance is not in use", RetryAfter: unservedRetry,
+	}}
+}
+
 // Cancel ends the wait of an operation. If a connection was granted in the meantime,
 // Cancel returns the grant, and the caller must release the connection.
-func (t *Table) Cancel(id proxy.GroupID, w *Waiter) (Grant, bool) {
+func (t *Table) Cancel(w *Waiter) (Grant, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	g := t.group(id)
-	g.waiters = slices.DeleteFunc(g.waiters, func(other *Waiter) bool { return other == w })
+	w.inst.dequeue(w)
 	select {
-	case grant := <-w.granted:
-		return grant, true
+	case end := <-w.ended:
+		return end.Grant, end.Refusal == nil
 	default:
 		return Grant{}, false
 	}
 }
 
-// expectedWait estimates how long an operation waits: for a new primary, or for the
-// operations that are served before it.
-func (t *Table) expectedWait(now proxy.Instant, g *group, w *Waiter) time.Duration {
-	if w.request.Primary && g.primary == "" {
-		return max(g.primaryExpected.Sub(now), 0)
+// QueueLoad returns the load of the queue for an instance.
+func (t *Table) QueueLoad(id proxy.InstanceID) proxy.QueueLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	inst := t.instances[id]
+	if inst == nil {
+		return proxy.QueueLoad{}
+	}
+	load := proxy.QueueLoad{Waiting: len(inst.waiters)}
+	if inst.running >= inst.OwnSlots {
+		load.Wait = inst.timeFor(len(inst.waiters) + 1)
 	}
+	return load
+}
+
+// timeFor returns how long an instance takes to serve a number of operations.
+func (i *instance) timeFor(operations int) time.Duration {
+	return time.Duration(float64(operations) * float64(i.delay) / float64(max(i.OwnSlots, 1)))
+}
+
+// expectedWait estimates how long an operation waits for the operations that are served
+// before it, and until the instance accepts another connection.
+func (i *instance) expectedWait(now proxy.Instant, w *Waiter) time.Duration {
 	ahead := 1
-	for _, other := range g.waiters {
-		if g.compare(now, other, w) <= 0 && other.request.Primary == w.request.Primary {
+	for _, other := range i.waiters {
+		if other != w && i.compare(now, other, w) <= 0 {
 			ahead++
 		}
 	}
-	var rate float64
-	for _, inst := range g.instances {
-		if w.request.Primary && inst.ID != g.primary || inst.Leaving || now < inst.excludedUntil {
-			continue
-		}
-		rate += float64(inst.Slots) / inst.delay.Seconds()
-	}
-	if rate == 0 {
-		return 0
+	wait := i.timeFor(ahead)
+	if i.findIdle(w.request.Account) < 0 {
+		wait = max(wait, i.openAfter.Sub(now))
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return wait
 }
 
 // compare orders waiting operations. Those that can still be answered in time come
@@ -81,8 +136,8 @@
 // then ordered by priority, and then by the instant at which they are due. An
 // operation that will be late in any case gains little from being served first, but
 // can make the next one late too.
-func (g *group) compare(now proxy.Instant, a, b *Waiter) int {
-	lateA, lateB := now.Add(g.usualDelay(a)) > a.request.Due, now.Add(g.usualDelay(b)) > b.request.Due
+func (i *instance) compare(now proxy.Instant, a, b *Waiter) int {
+	lateA, lateB := now.Add(i.delay) > a.request.Due, now.Add(i.delay) > b.request.Due
 	switch {
 	case lateB && !lateA:
 		return -1
@@ -92,89 +147,67 @@
 	return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.request.Due, b.request.Due))
 }
 
-// usualDelay returns the usual duration of a statement on the fastest instance that
-// may run the operation.
-func (g *group) usualDelay(w *Waiter) time.Duration {
-	var shortest time.Duration
-	for _, inst := range g.instances {
-		if w.request.Primary && inst.ID != g.primary {
-			continue
-		}
-		if shortest == 0 || inst.delay < shortest {
-			shortest = inst.delay
-		}
-	}
-	return shortest
-}
-
-// serveGroup grants connections to the waiting operations of a group.
-func (t *Table) serveGroup(now proxy.Instant, id proxy.GroupID) {
-	g := t.group(id)
-	if len(g.waiters) == 0 {
+// serve grants connections to waiting operations.
+func (i *instance) serve(now proxy.Instant) {
+	if len(i.waiters) == 0 {
 		return
 	}
-	slices.SortStableFunc(g.waiters, func(a, b *Waiter) int { return g.compare(now, a, b) })
-	g.waiters = slices.DeleteFunc(g.waiters, func(w *Waiter) bool {
-		grant, ok := t.tryAcquire(now, g, &w.request)
+	slices.SortStableFunc(i.waiters, func(a, b *Waiter) int { return i.compare(now, a, b) })
+	i.waiters = slices.DeleteFunc(i.waiters, func(w *Waiter) bool {
+		grant, ok := i.tryAcquire(now, &w.request)
 		if ok {
-			w.granted <- grant
+			w.ended <- Outcome{Grant: grant}
 		}
 		return ok
 	})
 }
 
-// Serve grants connections to the waiting operations of all groups. It must be called
-// regularly, because instances become usable again as time passes.
+// refuseAll ends the wait of all operations with a refusal.
+func (i *instance) refuseAll(refusal *proxy.NotExecuted) {
+	for _, w := range i.waiters {
+		w.ended <- Outcome{Refusal: refusal}
+	}
+	i.waiters = nil
+}
+
+// Serve grants connections to waiting operations. It must be called regularly, because
+// instances become usable again as time passes.
 func (t *Table) Serve(now proxy.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id := range t.groups {
-		t.serveGroup(now, id)
+	for _, inst := range t.instances {
+		inst.serve(now)
 	}
 }
 
-// tryAcquire acquires a connection to the usable instance with the lowest expected
-// delay, if there is one.
-func (t *Table) tryAcquire(now proxy.Instant, g *group, request *Request) (Grant, bool) {
-	var best *instance
-	var lowest time.Duration
-	for _, inst := range g.instances {
-		if !inst.usable(now, g, request) {
-			continue
-		}
-		if expectedDelay := inst.expectedDelay(g, request); best == nil || expectedDelay < lowest {
-			best, lowest = inst, expectedDelay
-		}
-	}
-	if best == nil {
+// tryAcquire takes an idle connection of the account or adds a new one, if the instance
+// has a free slot. If the connection limit is reached, it evicts an idle connection for
+// the new one.
+func (i *instance) tryAcquire(now proxy.Instant, request *Request) (Grant, bool) {
+	if i.running >= i.OwnSlots || now < i.excludedUntil {
 		return Grant{}, false
 	}
-	return best.acquire(now, request.Account), true
-}
-
-func (i *instance) usable(now proxy.Instant, g *group, request *Request) bool {
-	if request.Primary {
-		if i.ID != g.primary {
-			return false
-		}
-	} else if i.Leaving || now < i.laggingUntil {
-		return false
+	if n := i.findIdle(request.Account); n >= 0 {
+		c := i.idle[n]
+		i.idle = slices.Delete(i.idle, n, n+1)
+		c.take(now)
+		return Grant{Connection: c}, true
 	}
-	if i.running >= i.Slots || now < i.excludedUntil || slices.Contains(request.Avoid, i.ID) {
-		return false
+	full := i.open >= i.limit()
+	if now < i.openAfter || full && len(i.idle) == 0 || i.acquired[request.Account] >= i.accountLimit() {
+		return Grant{}, false
 	}
-	return i.findIdle(request.Account) >= 0 || now >= i.openAfter && (i.open < i.limit() || len(i.idle) > 0)
-}
-
-func (i *instance) expectedDelay(g *group, request *Request) time.Duration {
-	expectedDelay := i.delay * time.Duration(i.running+1)
-	if i.findIdle(request.Account) < 0 {
-		expectedDelay += connectDelay
+	var grant Grant
+	if full {
+		grant.Evicted = append(grant.Evicted, i.evict())
 	}
-	if i.ID == g.primary && !request.Primary {
-		expectedDelay += primaryReadPenalty
+	i.open++
+	grant.Connection = &Connection{
+		Target: proxy.Target{Group: i.Group, Instance: i.ID, Address: i.Address, Account: request.Account},
+		inst:   i,
 	}
-	return expectedDelay
+	grant.Connection.take(now)
+	return grant, true
 }
 
 // findIdle returns the index of the account's most recently used idle connection,
@@ -187,27 +220,3 @@
 	}
 	return -1
 }
-
-// acquire takes an idle connection of the account or adds a new one. If the
-// connection limit is reached, it evicts an idle connection for the new one.
-func (i *instance) acquire(now proxy.Instant, account proxy.AccountID) Grant {
-	if n := i.findIdle(account); n >= 0 {
-		c := i.idle[n]
-		i.idle = slices.Delete(i.idle, n, n+1)
-		c.acquired = true
-		c.start(now)
-		return Grant{Connection: c}
-	}
-	var grant Grant
-	if i.open >= i.limit() {
-		grant.Evicted = append(grant.Evicted, i.evict())
-	}
-	i.open++
-	c := &Connection{
-		Target: proxy.Target{Group: i.Group, Instance: i.ID, Address: i.Address, Account: account},
-		inst:   i, acquired: true,
-	}
-	c.start(now)
-	grant.Connection = c
-	return grant
-}
--- a/pkg/proxy/execution.go
+++ b/pkg/proxy/execution.go
@@ -105,6 +105,9 @@
 	Load   QueueLoad     `cbor:"5,keyasint"`
 	// Leaving reports that the executing host is about to stop.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Lost reports that the executing host has not answered. It is set by the host that
+	// asked.
+	Lost bool `cbor:"-"`
 }
 
 // Validate implements Message.
--- a/pkg/proxy/placement/placement_test.go
+++ b/pkg/proxy/placement/placement_test.go
@@ -159,3 +159,42 @@
 		last = distance
 	}
 }
+
+// Guards against holders in another zone than the instance's while there are hosts in it,
+// and against instances that change their holders although these are still there.
+func TestHolders(t *testing.T) {
+	is := is.New(t)
+	var candidates []placement.Candidate
+	for n := range 60 {
+		zone := proxy.Zone(fmt.Sprintf("z%d", n%3))
+		candidates = append(candidates, placement.Candidate{Host: proxy.HostID(fmt.Sprintf("h%d", n)), Zone: zone, Link: 100})
+	}
+	zones := make(map[proxy.HostID]proxy.Zone)
+	for _, c := range candidates {
+		zones[c.Host] = c.Zone
+	}
+	held := make(map[proxy.HostID]int)
+	const gone = 7
+	for n := range 600 {
+		instance, zone := proxy.InstanceID(fmt.Sprintf("i%d", n)), proxy.Zone(fmt.Sprintf("z%d", n%3))
+		holders := placement.Holders(instance, zone, candidates, 2)
+		is.Equal(len(holders), 2)
+		is.True(holders[0] != holders[1])
+		for _, id := range holders {
+			is.Equal(zones[id], zone)
+		}
+		held[holders[0]]++
+		without := placement.Holders(instance, zone, slices.Delete(slices.Clone(candidates), gone, gone+1), 2)
+		if !slices.Contains(holders, candidates[gone].Host) {
+			is.Equal(without, holders)
+		} else if holders[0] == candidates[gone].Host {
+			is.Equal(without[0], holders[1]) // the standby takes over
+		}
+	}
+	for _, count := range held {
+		is.True(count < 30) // 10 on average
+	}
+	is.Equal(len(placement.Holders("i", "none", candidates, 2)), 2) // a zone without hosts
+	is.Equal(len(placement.Holders("i", "z0", candidates[:1], 2)), 1)
+	is.Equal(len(placement.Holders("i", "z0", nil, 2)), 0)
+}
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -179,6 +179,9 @@
 	// an error the connection must be closed, and the commands without an answer
 	// may have run.
 	Exchange(timeout time.Duration, commands ...Command) ([]Answer, error)
+	// Alive reports whether the instance has neither closed the idle connection nor sent
+	// anything on it, as far as this host has been told.
+	Alive() bool
 	// Close closes the connection, which rolls back its open transaction.
 	Close()
 }
