Learn the log position of a group from the holder of its primary

Change: a read without a position asks the holder of the primary by datagram, once a group at a time, and the next one is asked for before the newest is half as old as the route accepts.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
@@ -222,6 +223,20 @@
 	return h.MinimumPosition(since)
 }
 
+// latestPosition returns the newest position of a group's primary and its age.
+func (s *clusterState) latestPosition(now proxy.Instant, id proxy.GroupID) (peering.Position, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	primary, _, ok := s.primaryLocked(now, id)
+	h := s.positionHistories[id]
+	if !ok || h == nil || h.Latest() == 0 {
+		return peering.Position{}, false
+	}
+	at := h.Latest()
+	position, _ := h.MinimumPosition(at)
+	return peering.Position{Primary: primary, Age: now.Sub(at), Bookmark: position}, true
+}
+
 // stalePositions returns the groups whose newest timestamped position is older than
 // age, with their primaries.
 func (s *clusterState) stalePositions(
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -75,6 +75,7 @@
 	clusterState *clusterState
 	table        *dispatch.Table
 	balance      *balance.Table
+	positions    positionQueries
 	forwarder    *forward.Client
 	stopForward  func()
 	allowances   *allowance.Table
@@ -156,6 +157,7 @@
 		Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
 		Borrower:       &allowance.Borrower{Table: h.allowances, Zone: h.Settings.Zone, Random: randv2.Uint64},
 		State:          h.peerState,
+		Position:       h.peerPosition,
 		OnAnnouncement: func(a peering.Announcement) { h.applyLeadership(a.Group, a.Record, a.Version) },
 	}
 	h.mirrors = map[proxy.Kind]*mirror{
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -167,8 +167,8 @@
 	if op.route.Consistency == directory.Strict {
 		return proxy.Bookmark{}, false
 	}
-	minimumPosition, ok := s.host.clusterState.minimumPosition(
-		op.route.Group, op.arrived.Add(-op.route.MaxStaleness))
+	minimumPosition, ok := s.host.positionSince(
+		op.route.Group, op.arrived.Add(-op.route.MaxStaleness), op.route.MaxStaleness)
 	if !ok {
 		return proxy.Bookmark{}, false
 	}
--- a/internal/peering/endpoint.go
+++ b/internal/peering/endpoint.go
@@ -44,6 +44,8 @@
 	Random func() uint64
 	// State returns the state that the host reports to others.
 	State func() State
+	// Position returns the newest log position of a group's primary that the host knows.
+	Position func(proxy.GroupID) (Position, bool)
 	// OnAnnouncement is called for each announcement that the host receives.
 	OnAnnouncement func(Announcement)
 
@@ -53,6 +55,8 @@
 	addresses map[proxy.HostID]netip.AddrPort
 	// stateQueries holds the channels for the answers to state queries by request number.
 	stateQueries map[uint64]chan<- State
+	// positionQueries holds the channels for the answers to position queries likewise.
+	positionQueries map[uint64]chan<- *Position
 	// loansReceived is closed and replaced when an answer to a loan request arrives.
 	loansReceived chan struct{}
 }
@@ -65,6 +69,7 @@
 	}
 	e.conn = conn
 	e.stateQueries = make(map[uint64]chan<- State)
+	e.positionQueries = make(map[uint64]chan<- *Position)
 	e.loansReceived = make(chan struct{})
 	return func() { _ = conn.Close() }, nil
 }
@@ -101,6 +106,10 @@
 			continue
 		}
 		switch {
+		case m.PositionOf != "" && m.Answer:
+			e.handlePosition(m)
+		case m.PositionOf != "":
+			e.answerPositionQuery(m, from)
 		case m.Answer && m.State != nil:
 			e.handleState(m)
 		case m.Answer:
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -10,8 +11,8 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
-// message is a request for loans, a state query or the answer to one of them. A request
-// without loans is a state query.
+// message is a request for loans, a position query, a state query or the answer to one of
+// them. A request with neither loans nor a group is a state query.
 type message struct {
 	// Request is the random number by which the requesting host identifies the request.
 	Request uint64 `cbor:"1,keyasint"`
@@ -24,6 +25,19 @@
 	State *State `cbor:"4,keyasint,omitempty"`
 	// Announcement is an optional addition to a state query.
 	Announcement *Announcement `cbor:"5,keyasint,omitempty"`
+	// PositionOf is the group whose log position is queried. Position is the answer to
+	// such a query, nil if the host knows none.
+	PositionOf proxy.GroupID `cbor:"7,keyasint,omitempty"`
+	Position   *Position     `cbor:"8,keyasint,omitempty"`
+}
+
+// Position is a log position that the primary of a group has reported.
+type Position struct {
+	Primary proxy.InstanceID `cbor:"1,keyasint"`
+	// Age is the time since the position was sampled: every commit that was acknowledged
+	// before that is at or below it.
+	Age      time.Duration  `cbor:"2,keyasint"`
+	Bookmark proxy.Bookmark `cbor:"3,keyasint"`
 }
 
 // Announcement contains a version of a group's leadership record that the store has
@@ -71,6 +85,9 @@
 			return fmt.Errorf("announcement: %w", err)
 		}
 	}
+	if m.Position != nil && m.Position.Age < 0 {
+		return eris.Errorf("position with the age %v: negative ages are not allowed", m.Position.Age)
+	}
 	for _, l := range m.Loans {
 		if l.Tokens < 0 || l.Remaining < 0 {
 			return eris.Errorf("loan of %d tokens with %d remaining: negative numbers are not allowed", l.Tokens, l.Remaining)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -23,6 +23,9 @@
 
 func (stoppedClock) Now() proxy.Instant { return proxy.Instant(time.Hour) }
 
+// known is the position that all hosts know of the group ledger.
+var known = peering.Position{Primary: "i-1", Age: time.Second, Bookmark: proxy.Bookmark{Term: 3, Position: 7}}
+
 type host struct {
 	*peering.Endpoint
 	peering.Peer
@@ -43,6 +46,7 @@
 		Log: zerolog.Nop(), Clock: stoppedClock{}, Random: rand.Uint64, Allowances: table,
 		Borrower:       &allowance.Borrower{Table: table, Zone: "gondar", Random: rand.Uint64},
 		State:          func() peering.State { return peering.State{Host: id} },
+		Position:       func(g proxy.GroupID) (peering.Position, bool) { return known, g == "ledger" },
 		OnAnnouncement: func(a peering.Announcement) { h.announcements <- a },
 	}
 	stop, err := h.Listen(address)
@@ -71,6 +75,25 @@
 	is.Equal(len(a.QueryStates(context.Background(), []peering.Peer{unresponsive}, nil, time.Millisecond)), 0)
 }
 
+// Guards against a position of another group, and against a wait for a host that knows
+// none.
+func TestQueryPosition(t *testing.T) {
+	is := is.New(t)
+	a, b := start(t, "a"), start(t, "b")
+	a.SetPeers([]peering.Peer{b.Peer, {Host: "gone", Address: netip.MustParseAddrPort("127.0.0.1:9")}})
+	position, ok := a.QueryPosition(context.Background(), "b", "ledger")
+	is.True(ok)
+	is.Equal(position, known)
+	_, ok = a.QueryPosition(context.Background(), "b", "other")
+	is.True(!ok)
+	_, ok = a.QueryPosition(context.Background(), "unknown", "ledger")
+	is.True(!ok)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, ok = a.QueryPosition(ctx, "gone", "ledger")
+	is.True(!ok)
+}
+
 // Guards against borrowed tokens that the waiting operation does not get, and against
 // lent tokens that the lender keeps as well.
 func TestAwaitBorrows(t *testing.T) {
--- a/pkg/proxy/balance/balance.go
+++ b/pkg/proxy/balance/balance.go
@@ -220,6 +220,17 @@
 	return t.Self
 }
 
+// PrimaryHost returns the host whose connection to the primary of a group is used, or an
+// empty ID if the group has no primary.
+func (t *Table) PrimaryHost(now proxy.Instant, id proxy.GroupID) proxy.HostID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.instances[t.primaries[id]]; i != nil {
+		return t.host(now, i)
+	}
+	return ""
+}
+
 // Start records that an operation is sent.
 func (t *Table) Start(choice Choice) {
 	t.mu.Lock()
