Read the store at the start through relays, and let one host write first records

Cause: each host listed all four kinds before it knew of a relay (780 calls of 195 hosts), each of 42 hosts wrote the first record of a group (844 calls), since hosts that have just started know no rank, and each entry of an instance ended a watch (334). Change: the list of hosts is read first, and the other kinds through the relay that it names; a first record waits until the hosts have not changed for 0.6 s; watches of instances and hosts pause after changes.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -74,6 +74,8 @@
 	positionHistories map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
+	// membersChangedAt is when the hosts last changed.
+	membersChangedAt proxy.Instant
 	// holders caches the holders of instances, and candidates the hosts among which they
 	// are chosen; nil if they have to be computed.
 	holders    map[proxy.InstanceID][]proxy.HostID
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -21,6 +21,9 @@
 	// rankStep is the difference between the delays of hosts with successive ranks,
 	// so that usually only one host starts a failover.
 	rankStep = 100 * time.Millisecond
+	// settlingTime is how long the hosts must not have changed until the first record of a
+	// group is written. Until then a host that has just started does not know its rank.
+	settlingTime = 600 * time.Millisecond
 	// coordinatorTimeout is how long a coordinator counts as running after it last
 	// confirmed that it is working on the failover.
 	coordinatorTimeout = 2 * time.Second
@@ -116,7 +119,8 @@
 	l := cs.leaderships[id]
 	if l == nil {
 		candidates := cs.registeredPrimaries(id)
-		if len(candidates) > 0 && cs.registeredAt != 0 && now.Sub(cs.registeredAt) > h.rankDelay(id) {
+		settledFor := now.Sub(max(cs.registeredAt, cs.membersChangedAt))
+		if len(candidates) > 0 && cs.registeredAt != 0 && settledFor > settlingTime+h.rankDelay(id) {
 			return func(ctx context.Context) { h.createLeadership(ctx, id, candidates) }
 		}
 		return nil
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -20,6 +20,9 @@
 	kind proxy.Kind
 	// watchWait is how long the store may hold a watch without a change.
 	watchWait time.Duration
+	// changePause is the pause after a watch has returned changes, in which further ones
+	// are collected.
+	changePause time.Duration
 	// maxConfirmationAge is the age from which a relay's confirmation is too old.
 	maxConfirmationAge time.Duration
 	mirror             *mirror
@@ -49,6 +52,7 @@
 	if watchWait > confirmationWait {
 		// No decision depends on the age of this kind.
 		f.maxConfirmationAge = maxUnconfirmedAge
+		f.changePause = f.mirror.batchDelay
 	}
 	return f
 }
@@ -115,6 +119,9 @@
 		return fmt.Errorf("watch: %w", err)
 	}
 	f.apply(sent, listing, false, 0)
+	if len(listing.Records) > 0 {
+		timing.Sleep(ctx, f.changePause)
+	}
 	return nil
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -93,11 +94,18 @@
 		}
 	}
 	go h.checkMembers(ctx)
-	for _, run := range []func(context.Context){h.followConfiguration, h.followLeaderships, h.followInstances} {
-		go run(ctx)
+	// The other kinds are read from a relay, which is among the hosts.
+	var once sync.Once
+	followOthers := func() {
+		for _, run := range []func(context.Context){h.followConfiguration, h.followLeaderships, h.followInstances} {
+			go run(ctx)
+		}
 	}
 	f := h.newFollower(memberKind, memberWait)
-	f.applySnapshot = h.replaceMembers
+	f.applySnapshot = func(confirmedAt proxy.Instant, records []proxy.Record) {
+		h.replaceMembers(confirmedAt, records)
+		once.Do(followOthers)
+	}
 	f.applyChanges = h.applyMemberChanges
 	f.run(ctx)
 }
@@ -165,6 +173,7 @@
 	}
 	h.membersChanged = h.membersChanged || changed
 	if changed {
+		cs.membersChangedAt = h.Clock.Now()
 		cs.forgetHoldersLocked()
 	}
 	own := cs.members[h.Settings.Host]
--- a/internal/entry/mirror.go
+++ b/internal/entry/mirror.go
@@ -22,7 +22,7 @@
 // group without a primary waits for them.
 const (
 	configurationBatchDelay = 20 * time.Millisecond
-	instanceBatchDelay      = 50 * time.Millisecond
+	instanceBatchDelay      = 80 * time.Millisecond
 	// memberBatchDelay is long, since hundreds of hosts register when a fleet starts,
 	// and a new host waits for joinWait anyway.
 	memberBatchDelay = 400 * time.Millisecond
