Leave silent hosts and stalled instances out at once; let a standby take over connections

Cause: operations found out for a frozen holder whether it answers again, 0.4 to 0.8 s each; a queue took an instance that no longer answers for as fast as before; a standby had 15% of the connections when its holder was gone; a restarted host that reads its leases from a relay used none until the relay's next one. Change: silence marks a host for all other operations, and a check by datagram decides when it is used again; a stall counts as a wait; a standby may open 60%, and keeps 15%; holders keep 80%; a host whose entry is older than its process needs no newer confirmation.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -83,9 +83,10 @@
 	// routesChanged is closed and replaced when instances or primaries change.
 	routesChanged chan struct{}
 	// registeredAt is when the host had confirmed that its own entry is in the store.
-	// countedFrom is when all other hosts take the entry into account. Both are zero
-	// while the host is not registered.
-	registeredAt, countedFrom proxy.Instant
+	// listedFrom is from when every listing of the hosts contains it; zero for an entry
+	// that was there before the process. countedFrom is when all other hosts take the entry
+	// into account. All are zero while the host is not registered.
+	registeredAt, listedFrom, countedFrom proxy.Instant
 	// votes are the results of polls on the primaries that this host suspects.
 	votes map[proxy.InstanceID]vote
 	// attempts are the failovers that this host coordinates. No new one begins before
@@ -128,7 +129,7 @@
 	if l == nil || l.record.Phase != failover.Settled || now >= s.leadershipConfirmedAt.Add(failover.Lease) {
 		return "", 0, false
 	}
-	if s.registeredAt == 0 || s.leadershipConfirmedAt < s.registeredAt {
+	if s.registeredAt == 0 || s.leadershipConfirmedAt < s.listedFrom {
 		// A coordinator that listed the hosts before this host was registered does not
 		// wait for this host to accept the failover.
 		return "", 0, false
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -21,10 +21,14 @@
 	// with a fifth of a core forwards several times the statements that they run.
 	slotsPerHolder = 8
 	// holderPercent is the part of an instance's connections that its holders share, and
-	// standbyPercent that of the host that takes over from a holder. The others use the
-	// rest when they reach neither, and for probes.
-	holderPercent  = 60
-	standbyPercent = 30
+	// standbyPercent that which the host keeps that takes over from a holder. Then it may
+	// open takeoverPercent, since the instance closes those of a holder that is gone.
+	holderPercent   = 80
+	standbyPercent  = 15
+	takeoverPercent = 60
+	// directLimit is the number of connections that the other hosts may open when they
+	// reach no holder: one for a transaction and one for other statements.
+	directLimit = 2
 	// holdTimeout limits the time for which a connection is held for another host that
 	// sends nothing. It exceeds the idle time that operators set for transactions.
 	holdTimeout = 8 * time.Second
@@ -91,11 +95,12 @@
 		}
 		member := dispatch.Member{Instance: i.Instance, OwnSlots: i.Slots}
 		member.Share = group.Connections / max(len(cs.members), 1)
+		member.Limit = max(member.Share, directLimit)
 		// A host that can keep a connection for each account needs no other one's.
 		var holders []proxy.HostID
 		if member.Share <= len(cs.configuration.Accounts) {
 			holders = cs.holdersLocked(i.Instance)
-			member.Share, member.OwnSlots = holderPart(group, i.Instance, holders, h.Settings.Host)
+			setHolderPart(&member, group.Connections, slices.Index(holders, h.Settings.Host))
 		}
 		own = append(own, member)
 		routed = append(routed, balance.Member{Instance: i.Instance, Holders: holders})
@@ -103,21 +108,21 @@
 	return own, routed
 }
 
-// holderPart returns the number of connections that a host may keep to an instance with
-// holders, and the number of statements that it may run there at once.
-func holderPart(group directory.Group, i directory.Instance, holders []proxy.HostID, host proxy.HostID) (share, slots int) {
-	if len(holders) == 0 {
-		return 0, i.Slots
-	}
-	regular := holderCount(i)
-	rank := slices.Index(holders, host)
+// setHolderPart sets the connections that a host may have to an instance with holders, and
+// the statements that it may run there at once. Rank is its index among the holders, the
+// last of which stands by, or negative.
+func setHolderPart(m *dispatch.Member, connections, rank int) {
+	regular := holderCount(m.Instance)
 	switch {
 	case rank < 0:
-		return 0, i.Slots
+		m.Share, m.Limit = 0, directLimit
 	case rank < regular:
-		return max(group.Connections*holderPercent/100/regular, 1), (i.Slots + regular - 1) / regular
+		m.Share = max(connections*holderPercent/100/regular, 1)
+		m.Limit = m.Share
+		m.OwnSlots = (m.Slots + regular - 1) / regular
 	default:
-		return max(group.Connections*standbyPercent/100, 1), i.Slots
+		m.Share = connections * standbyPercent / 100
+		m.Limit = max(connections*takeoverPercent/100, directLimit)
 	}
 }
 
--- a/internal/entry/executor.go
+++ b/internal/entry/executor.go
@@ -39,7 +39,7 @@
 	r := &execution{host: h, Execution: e, expires: start.Add(e.Expires), due: start.Add(e.Due)}
 	result, held := r.run(ctx)
 	result.Waited = r.waited
-	result.Load = h.table.QueueLoad(e.Instance)
+	result.Load = h.table.QueueLoad(h.Clock.Now(), e.Instance)
 	result.Leaving = h.stopping.Load()
 	return result, held
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -126,6 +126,7 @@
 	defer stopWork()
 	for _, run := range []func(context.Context){
 		h.followMembers, h.runTicks, h.runCoordinator, h.probeSuspects, h.pollHosts, h.forwarder.Run,
+		h.checkExcludedHosts,
 	} {
 		go run(work)
 	}
@@ -152,6 +153,7 @@
 	if h.forwarder, h.stopForward, err = forward.NewClient(); err != nil {
 		return fmt.Errorf("create client of other hosts: %w", err)
 	}
+	h.forwarder.OnSilence = h.markSilent
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandoverDelay: joinWait}
 	h.peerEndpoint = &peering.Endpoint{
 		Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -88,7 +88,7 @@
 // followMembers registers the host and follows the list of hosts. It starts the work
 // that requires the registration.
 func (h *Host) followMembers(ctx context.Context) {
-	for !h.register(ctx) {
+	for first := true; !h.register(ctx, first); first = false {
 		if !timing.Sleep(ctx, registerRetryDelay) {
 			return
 		}
@@ -111,8 +111,9 @@
 }
 
 // register writes the host's entry, unless an earlier process of this host has left
-// it, and reports whether the entry is in the store.
-func (h *Host) register(ctx context.Context) bool {
+// it, and reports whether the entry is in the store. First reports that this process has
+// not tried before, so that an entry that exists is older than the process.
+func (h *Host) register(ctx context.Context, first bool) bool {
 	entry := HostEntry{Address: h.Settings.Peer.String(), Zone: h.Settings.Zone, Link: h.Settings.Link}
 	if h.Settings.Forward.IsValid() {
 		entry.Forward = h.Settings.Forward.String()
@@ -136,6 +137,10 @@
 	h.clusterState.registeredAt = h.Clock.Now()
 	// The other hosts already count a host whose entry was kept.
 	h.clusterState.countedFrom = h.clusterState.registeredAt
+	h.clusterState.listedFrom = h.clusterState.registeredAt
+	if err != nil && first {
+		h.clusterState.listedFrom = 0
+	}
 	if err == nil {
 		h.clusterState.countedFrom = h.clusterState.registeredAt.Add(joinWait)
 	}
@@ -217,12 +222,12 @@
 	h.Log.Warn().Msg("entry of this host was removed or overwritten")
 	cs := h.clusterState
 	cs.mu.Lock()
-	cs.registeredAt, cs.countedFrom = 0, 0
+	cs.registeredAt, cs.listedFrom, cs.countedFrom = 0, 0, 0
 	cs.mu.Unlock()
 	h.updateAllowances()
 	ctx, cancel := context.WithTimeout(context.Background(), joinWait)
 	defer cancel()
-	for !h.register(ctx) {
+	for !h.register(ctx, false) {
 		if !timing.Sleep(ctx, registerRetryDelay) {
 			return
 		}
--- a/internal/entry/poll.go
+++ b/internal/entry/poll.go
@@ -46,6 +46,27 @@
 	}
 }
 
+// checkExcludedHosts regularly asks the hosts that are left out for commands whether they
+// answer again, so that no client's operation has to find out.
+func (h *Host) checkExcludedHosts(ctx context.Context) {
+	for timing.Sleep(ctx, voteInterval) {
+		for _, id := range h.balance.ExcludedHosts(h.Clock.Now()) {
+			h.clusterState.mu.Lock()
+			m := h.clusterState.members[id]
+			h.clusterState.mu.Unlock()
+			if m == nil {
+				continue
+			}
+			if peer, ok := m.peer(id); ok {
+				go func() {
+					answered := len(h.peerEndpoint.QueryStates(ctx, []peering.Peer{peer}, nil, voteTimeout)) > 0
+					h.balance.RecordCheck(h.Clock.Now(), id, answered)
+				}()
+			}
+		}
+	}
+}
+
 // pollTargets returns the primaries that this host suspects and the other hosts that
 // coordinate failovers.
 func (h *Host) pollTargets() (primaries []proxy.InstanceID, coordinators []peering.Peer) {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -83,6 +83,23 @@
 	return h.forwarder.Executor(m.entry.Forward)
 }
 
+// markSilent records that the host at a forward address does not answer.
+func (h *Host) markSilent(address string) {
+	cs := h.clusterState
+	cs.mu.Lock()
+	var silent proxy.HostID
+	for id, m := range cs.members {
+		if m.entry.Forward == address {
+			silent = id
+		}
+	}
+	cs.mu.Unlock()
+	if silent != "" {
+		h.balance.MarkSilent(h.Clock.Now(), silent)
+		h.Log.Info().Str("silent", string(silent)).Msg("host does not answer commands")
+	}
+}
+
 // execution returns a command with the state of the session that it needs.
 func (s *session) execution(
 	op operation, choice balance.Choice, command proxy.Command, expires proxy.Instant,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -18,9 +18,10 @@
 	// connectTimeout limits the opening of a connection to another host. It is several
 	// round trips between availability zones.
 	connectTimeout = 150 * time.Millisecond
-	// silenceTimeout is how long the executing host may report nothing until a command
-	// without effects is given up there and can run elsewhere.
-	silenceTimeout = 4 * workingInterval
+	// silenceTimeout is how long the executing host may report nothing until it is taken
+	// for unresponsive. A command without effects is given up there then and can run
+	// elsewhere.
+	silenceTimeout = 3 * workingInterval
 	// answerMargin is how much longer than the time left for a command its answer is
 	// awaited. It covers the way back.
 	answerMargin = 40 * time.Millisecond
@@ -37,6 +38,10 @@
 
 // Client runs commands on other hosts.
 type Client struct {
+	// OnSilence is called with the address of a host that has been silent for some time
+	// while it should be working on a command. It is set before use.
+	OnSilence func(address string)
+
 	codec *wire.Codec
 	conns peerconn.Pool
 }
@@ -146,16 +151,13 @@
 func (c *call) exchange(e *proxy.Execution, silenceLimited bool) (*reply, error) {
 	deadline := time.AfterFunc(max(e.Expires, minCallTime)+answerMargin, c.cancel)
 	defer deadline.Stop()
-	if silenceLimited {
-		silence := time.AfterFunc(silenceTimeout, c.cancel)
-		defer silence.Stop()
-		return c.exchangeWatched(e, func() { silence.Reset(silenceTimeout) })
-	}
-	return c.exchangeWatched(e, func() {})
-}
-
-// exchangeWatched is like exchange and calls working after each sign of work.
-func (c *call) exchangeWatched(e *proxy.Execution, working func()) (*reply, error) {
+	silence := time.AfterFunc(silenceTimeout, func() {
+		c.client.OnSilence(c.conn.Address)
+		if silenceLimited {
+			c.cancel()
+		}
+	})
+	defer silence.Stop()
 	if err := c.stream.MsgSend(&command{Execution: e}, c.client.codec); err != nil {
 		return nil, fmt.Errorf("send command: %w", err)
 	}
@@ -167,7 +169,7 @@
 		if answer.Executed != nil {
 			return &answer, nil
 		}
-		working()
+		silence.Reset(silenceTimeout)
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	released int
 	// gate holds commands back if it is not nil.
 	gate chan struct{}
+	// silences counts how often the client was told that the host is silent.
+	silences atomic.Int64
 	// refuse is the refusal of the next commands.
 	refuse *proxy.NotExecuted
 }
@@ -84,6 +87,7 @@
 	is.NoErr(err)
 	client, closeClient, err := forward.NewClient()
 	is.NoErr(err)
+	client.OnSilence = func(string) { s.silences.Add(1) }
 	t.Cleanup(func() {
 		closeClient()
 		stopRelay()
@@ -180,6 +184,7 @@
 		relay.SetMode(mode)
 		result, _ := remote.Execute(context.Background(), execution(proxy.ReadItem, "READ a"))
 		is.True(result.Unknown != "") // long before its time is over
+		is.True(s.silences.Load() > 0)
 		relay.SetMode(soak.Healthy)
 	}
 	// A host that works, however slowly, is waited for.
@@ -202,12 +207,14 @@
 	}
 	go write()
 	awaitRan(t, s, "WRITE a b", 1)
+	s.silences.Store(0)
 	relay.SetMode(soak.DropFromServer)
 	select {
 	case result := <-written:
 		t.Fatalf("write was given up: %+v", result)
 	case <-time.After(time.Second):
 	}
+	is.True(s.silences.Load() > 0) // other commands can run elsewhere
 	relay.SetMode(soak.Resetting)
 	is.True((<-written).Unknown != "")
 	go write()
--- a/pkg/proxy/balance/balance.go
+++ b/pkg/proxy/balance/balance.go
@@ -47,6 +47,8 @@
 	// after a failure. It doubles on repeated failures up to maxExclusionTime.
 	exclusionTime    = 200 * time.Millisecond
 	maxExclusionTime = 2 * time.Second
+	// unansweredTime is how much longer a host is left out that has not answered a check.
+	unansweredTime = 500 * time.Millisecond
 	// leavingTime is how long a host that is about to stop is left out.
 	leavingTime = 4 * time.Second
 )
@@ -296,6 +298,39 @@
 	return i.unreachable[id]
 }
 
+// MarkSilent records that a host does not answer, although an operation that it was sent
+// has not ended.
+func (t *Table) MarkSilent(now proxy.Instant, id proxy.HostID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hostExclusion(id); now >= e.until {
+		e.fail(now)
+	}
+}
+
+// ExcludedHosts returns the hosts that are left out because they have not answered, for the
+// caller to check. A host is used again only after it has answered a check.
+func (t *Table) ExcludedHosts(now proxy.Instant) []proxy.HostID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []proxy.HostID
+	for id, e := range t.hosts {
+		if e.failures > 0 && now < e.until {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// RecordCheck records whether a host that is left out has answered a check.
+func (t *Table) RecordCheck(now proxy.Instant, id proxy.HostID, answered bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hosts[id]; e != nil && !answered {
+		e.until = max(e.until, now.Add(unansweredTime))
+	}
+}
+
 // MarkLagging records that a replica has not replayed a required position.
 func (t *Table) MarkLagging(now proxy.Instant, id proxy.InstanceID) {
 	t.mu.Lock()
--- a/pkg/proxy/balance/balance_test.go
+++ b/pkg/proxy/balance/balance_test.go
@@ -174,3 +174,25 @@
 	is.True(mean < work)              // a read waits for less time than it runs
 	is.True(onPrimary*100 < reads*25) // the primary helps out only
 }
+
+// Guards against operations that find out for a host that has fallen silent whether it
+// answers again.
+func TestSilentHostIsUsedAfterItHasAnswered(t *testing.T) {
+	is := is.New(t)
+	table := newTable(middle)
+	now := proxy.Instant(time.Hour)
+	host := func() proxy.HostID {
+		choice, _ := table.Choose(now, balance.Request{Group: group, Primary: true})
+		return choice.Host
+	}
+	table.MarkSilent(now, "holder")
+	for range 100 {
+		is.Equal(host(), proxy.HostID("standby"))
+		is.Equal(table.ExcludedHosts(now), []proxy.HostID{"holder"})
+		table.RecordCheck(now, "holder", false)
+		now = now.Add(100 * time.Millisecond)
+	}
+	table.RecordCheck(now, "holder", true)
+	now = now.Add(time.Second)
+	is.Equal(host(), proxy.HostID("holder"))
+}
--- a/pkg/proxy/dispatch/dispatch.go
+++ b/pkg/proxy/dispatch/dispatch.go
@@ -37,9 +37,9 @@
 	// excessIdleTime is how long an idle connection above the host's share of an
 	// instance is kept.
 	excessIdleTime = 400 * time.Millisecond
-	// zeroShareLimit is the connection limit of a host whose share is zero: one
-	// connection for a transaction and one for other statements.
-	zeroShareLimit = 2
+	// stallFactor times the usual duration of a statement is the time after which an
+	// instance without an answer counts as stalled.
+	stallFactor = 8
 	// accountShareLimit is the connection limit from which one account may use at most
 	// half of the connections, so that it does not push out those of the others.
 	accountShareLimit = 4
@@ -96,6 +96,8 @@
 	// open counts the connections that are acquired, idle or being opened.
 	open    int
 	running int
+	// latestStart is when the last of the running statements began.
+	latestStart proxy.Instant
 	// acquired counts the acquired connections by account.
 	acquired map[proxy.AccountID]int
 	// idle holds the idle connections, the least recently used first.
@@ -128,9 +130,10 @@
 	directory.Instance
 	// OwnSlots is the number of statements that the host may run on the instance at once.
 	OwnSlots int
-	// Share is the number of connections that the host may keep open to the instance;
-	// zero if it only uses the instance when the hosts that should are not reached.
-	Share int
+	// Share is the number of connections that the host may keep open to the instance, and
+	// Limit the number that it may open. Those above the share are closed when they have
+	// been idle for a short time.
+	Share, Limit int
 }
 
 // Update sets the instances in use. It returns the connections that the caller must
@@ -164,21 +167,13 @@
 	return closed
 }
 
-// limit returns the maximum number of open connections of the host.
-func (i *instance) limit() int {
-	if i.Share == 0 {
-		return zeroShareLimit
-	}
-	return i.Share
-}
-
 // accountLimit returns the maximum number of connections that one account may have
 // acquired.
 func (i *instance) accountLimit() int {
-	if limit := i.limit(); limit >= accountShareLimit {
-		return limit / 2
+	if i.Limit >= accountShareLimit {
+		return i.Limit / 2
 	}
-	return i.limit()
+	return i.Limit
 }
 
 // remove marks the instance as removed, refuses its waiters and returns its idle
@@ -312,6 +307,7 @@
 	}
 	c.running, c.started = true, now
 	c.inst.running++
+	c.inst.latestStart = now
 }
 
 func (c *Connection) stop(now proxy.Instant) {
--- a/pkg/proxy/dispatch/dispatch_test.go
+++ b/pkg/proxy/dispatch/dispatch_test.go
@@ -36,7 +36,7 @@
 			Instance: directory.Instance{
 				ID: proxy.InstanceID(fmt.Sprintf("i%d", n)), Group: group, Zone: "gondar", Slots: 2, Primary: n == 0,
 			},
-			OwnSlots: 2, Share: share,
+			OwnSlots: 2, Share: share, Limit: share,
 		})
 	}
 	table.Update(0, members)
@@ -216,6 +216,24 @@
 	is.True(refusal == nil && waiter == nil)
 }
 
+// Guards against operations that wait to their end for an instance which has not answered
+// for much longer than it usually takes.
+func TestStalledInstanceRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTable(1, 2)
+	for range 2 {
+		_, waiter, refusal := table.Acquire(0, newRequest("a", time.Second, time.Second))
+		is.True(waiter == nil && refusal == nil)
+	}
+	at := func(d time.Duration) *proxy.NotExecuted {
+		_, _, refusal := table.Acquire(proxy.Instant(d), newRequest("a", d+time.Second, d+400*time.Millisecond))
+		return refusal
+	}
+	is.True(at(20*time.Millisecond) == nil)
+	is.Equal(at(500*time.Millisecond).Cause, proxy.Crowded)
+	is.True(table.QueueLoad(proxy.Instant(500*time.Millisecond), primary).Wait > 400*time.Millisecond)
+}
+
 // Guards against an account with many transactions that takes the connections of all
 // others, which then wait for a new one each time.
 func TestAccountsShareConnections(t *testing.T) {
--- a/pkg/proxy/dispatch/wait.go
+++ b/pkg/proxy/dispatch/wait.go
@@ -96,7 +96,7 @@
 }
 
 // QueueLoad returns the load of the queue for an instance.
-func (t *Table) QueueLoad(id proxy.InstanceID) proxy.QueueLoad {
+func (t *Table) QueueLoad(now proxy.Instant, id proxy.InstanceID) proxy.QueueLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	inst := t.instances[id]
@@ -105,7 +105,7 @@
 	}
 	load := proxy.QueueLoad{Waiting: len(inst.waiters)}
 	if inst.running >= inst.OwnSlots {
-		load.Wait = inst.timeFor(len(inst.waiters) + 1)
+		load.Wait = inst.timeFor(len(inst.waiters)+1) + inst.stall(now)
 	}
 	return load
 }
@@ -124,13 +124,23 @@
 			ahead++
 		}
 	}
-	wait := i.timeFor(ahead)
+	wait := i.timeFor(ahead) + i.stall(now)
 	if i.findIdle(w.request.Account) < 0 {
 		wait = max(wait, i.openAfter.Sub(now))
 	}
 	return wait
 }
 
+// stall returns for how long all slots have been occupied without an answer, if that is
+// far longer than usual. How much longer it lasts is not known; as long again is assumed.
+func (i *instance) stall(now proxy.Instant) time.Duration {
+	elapsed := now.Sub(i.latestStart)
+	if i.running < i.OwnSlots || elapsed < stallFactor*i.delay {
+		return 0
+	}
+	return elapsed
+}
+
 // compare orders waiting operations. Those that can still be answered in time come
 // first, assuming that they are sent at now and take as long as usual. Operations are
 // then ordered by priority, and then by the instant at which they are due. An
@@ -193,7 +203,7 @@
 		c.take(now)
 		return Grant{Connection: c}, true
 	}
-	full := i.open >= i.limit()
+	full := i.open >= i.Limit
 	if now < i.openAfter || full && len(i.idle) == 0 || i.acquired[request.Account] >= i.accountLimit() {
 		return Grant{}, false
 	}
