End messages at CR LF only, so that a line feed stays in its text

Cause: the reader of messages ended a message at any LF and took the CR as optional. It served clients, startup messages and answers of instances alike; the startup message was also split at any white space, so that a key followed by a line feed counted as the key.

Ruled out: the codec between hosts (CBOR, texts carry their length) and the renaming of prepared statements, which keep texts unchanged.

Why this works: CR LF is the only line end on either side, so a text that was one field stays one.

The emulated instances and clients ended messages at any LF too, which hid the fault; they read and keep texts as the protocol says now. The check of an unwritten item in TestTransactions expects the blank after DATAROW, which the client of the tests used to remove.

--- a/internal/emulator/deployment/client.go
+++ b/internal/emulator/deployment/client.go
@@ -52,11 +52,11 @@
 
 // ReadLine returns the next line.
 func (c *Client) ReadLine() (string, error) {
-	line, err := c.in.ReadString('\n')
+	line, err := readMessage(c.in)
 	if err != nil {
 		return "", fmt.Errorf("read line: %w", err)
 	}
-	return strings.TrimSpace(line), nil
+	return line, nil
 }
 
 // Query sends a statement with a new request id and returns the lines of the answer,
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -30,11 +30,11 @@
 func (i *Instance) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	s := &session{at: i, in: bufio.NewReader(conn), out: conn, prepared: make(map[string]prepared), values: make(map[string]string)}
-	line, err := s.in.ReadString('\n')
+	line, err := readMessage(s.in)
 	if err != nil {
 		return
 	}
-	fields := strings.Fields(line)
+	fields := strings.Split(line, " ")
 	if len(fields) < 3 || fields[0] != "STARTUP" {
 		_, _ = fmt.Fprint(conn, "ERROR MALFORMED startup\r\n")
 		return
@@ -68,11 +68,10 @@
 	}()
 	_, _ = fmt.Fprintf(conn, "READY I %s\r\n", at)
 	for {
-		line, err := s.in.ReadString('\n')
+		line, err := readMessage(s.in)
 		if err != nil {
 			return
 		}
-		line = strings.TrimRight(line, "\r\n")
 		word, rest, _ := strings.Cut(line, " ")
 		if word != "QUERY" {
 			return
@@ -118,8 +117,8 @@
 			return "ERROR " + code + " " + s.at.ID + "\r\n"
 		}
 	}
-	fields := strings.Fields(text)
-	if len(fields) == 0 {
+	fields := strings.Split(text, " ")
+	if text == "" {
 		return s.refuse("MALFORMED")
 	}
 	if fields[0] == "WAITLSN" && len(fields) > 2 {
@@ -159,7 +158,7 @@
 		if len(fields) < 4 {
 			return s.refuse("MALFORMED")
 		}
-		s.prepared[fields[1]] = prepared{fields[2], fields[3]}
+		s.prepared[fields[1]] = prepared{fields[2], strings.Join(fields[3:], " ")}
 		return completeLine
 	case "STATUS":
 		return s.status()
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
@@ -57,10 +58,34 @@
 }
 
 func start(t *testing.T, hosts int) *testDeployment {
+	t.Helper()
+	const perHost = 8 // hosts need no connections of another one
+	return startWithConnections(t, hosts, perHost)
+}
+
+// startForwarding starts a deployment whose instances accept so few connections that one
+// host holds those to an instance, and runs the commands of the others there.
+func startForwarding(t *testing.T, hosts int) *testDeployment {
+	t.Helper()
+	w := startWithConnections(t, hosts, 2*hosts)
+	is.New(t).True(w.forwarded() > 0)
+	return w
+}
+
+// forwarded returns the number of commands that hosts have run for others.
+func (w *testDeployment) forwarded() int64 {
+	served := int64(0)
+	for _, m := range w.metrics {
+		served += m.Registry.Get("commands.served").(metrics.Counter).Count()
+	}
+	return served
+}
+
+func startWithConnections(t *testing.T, hosts, connections int) *testDeployment {
 	t.Helper()
 	is := is.New(t)
 	zones := []string{"gondar", "woldia"}
-	d, stop, err := deployment.Start([]string{"ledger"}, zones, replicaLag, 8)
+	d, stop, err := deployment.Start([]string{"ledger"}, zones, replicaLag, connections)
 	is.NoErr(err)
 	t.Cleanup(stop)
 	is.NoErr(d.Configure(1, tenants))
@@ -288,7 +313,7 @@
 	is.True(strings.Contains(c.query("WRITE t one"), "READY T"))
 	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW one")
 	is.True(strings.Contains(c.query("ROLLBACK"), "READY I"))
-	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW")
+	is.Equal(strings.Split(c.query("READ t"), "|")[0], "DATAROW ")
 	c.query("BEGIN")
 	c.query("WRITE t two")
 	is.True(strings.HasPrefix(c.query("COMMIT"), "COMPLETE i-"))
@@ -317,6 +342,40 @@
 	is.True(strings.HasPrefix(reader.query("EXECUTE s p"), "ERROR NOSTMT"))
 }
 
+// Guards against a line feed in a text that ends the message, so that the rest runs as a
+// statement of its own: on the way from the client, over the connections of another host,
+// and in answers.
+func TestTextsWithLineFeeds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := startForwarding(t, 2)
+	observed := &runs{}
+	w.Observe(observed)
+	const text = "note:\nQUERY 77 WRITE victim absent"
+	for n := range w.hosts { // one of the hosts holds the connections to the primary
+		c := w.session(n, "ledger-strict")
+		run := func(id, statement, want string) {
+			is.Helper()
+			is.True(strings.HasPrefix(c.queryAs(fmt.Sprintf("%s-%d", id, n), statement), want))
+		}
+		run("write", "WRITE a "+text, "COMPLETE i-")
+		run("read", "READ a", "DATAROW "+text+"|COMPLETE i-")
+		run("item", "WRITE b\nQUERY c", "COMPLETE i-")
+		run("set", "SET v "+text, "COMPLETE -")
+		run("parse", "PARSE s WRITE "+text, "COMPLETE -")
+		run("execute", "EXECUTE s d "+text, "COMPLETE i-")
+		run("begin", "BEGIN", "COMPLETE -")
+		run("within", "READ d", "DATAROW "+text+"|COMPLETE i-")
+		run("again", "EXECUTE s d "+text, "COMPLETE i-")
+		run("commit", "COMMIT", "COMPLETE i-")
+		ran := observed.of(fmt.Sprintf("execute-%d", n))
+		is.Equal(len(ran), 1)
+		is.Equal(ran[0].Shape, text)
+		is.Equal(ran[0].Values, "v "+text)
+	}
+	is.Equal(len(observed.of("77")), 0)
+}
+
 // Guards against statements of a withdrawn key, also on open sessions, and against
 // refusals of other keys.
 func TestWithdrawnKeyStops(t *testing.T) {
