Compare logs before the state when a successor is chosen

Cause: an instance that stays was preferred to one that is leaving before their logs were compared. Ruled out: old statuses (both replicas had answered in the round that decided) and the drain time (the replica served for 7 s more).

Why this works: the logs of a term are prefixes of one another, so that the longest has all that the others have. The state decides between equal logs only; what lies beyond the known end of the old primary's log does not count. A leaving successor is then replaced by a planned change, which loses nothing.

The emulated deployment has sync_replicas, deaf replicas, a promotion that takes time and crashes that leave the entry. A stopped instance ends connections instead of answering BUSY, which made it look alive.

--- a/internal/emulator/deployment/deployment.go
+++ b/internal/emulator/deployment/deployment.go
@@ -65,7 +65,7 @@
 func (d *Deployment) startGroup(
 	number int, name string, zones []string, lag time.Duration, maxConnections int, closers *[]func(),
 ) error {
-	g := &Group{Name: name, Lag: lag, MaxConnections: maxConnections, store: d.Store}
+	g := &Group{Name: name, Lag: lag, MaxConnections: maxConnections, store: d.Store, received: make(chan struct{})}
 	for n := range 3 {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -154,7 +154,7 @@
 		} {
 			route(g.Name+"-"+suffix, kind, g)
 		}
-		services = append(services, map[string]any{"name": g.Name, "max_conns": g.MaxConnections, "sync_replicas": 0})
+		services = append(services, map[string]any{"name": g.Name, "max_conns": g.MaxConnections, "sync_replicas": g.Synchronous})
 	}
 	return d.Store.Put("config", "main", map[string]any{
 		"version": version, "routes": routes, "services": services, "tenants": accounts,
--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +14,11 @@
 	Lag time.Duration
 	// MaxConnections is the maximum number of connections of each instance.
 	MaxConnections int
+	// Synchronous is the number of replicas that must have received a commit before the
+	// primary answers it.
+	Synchronous int
+	// PromotionDelay is the time from the promote call until the instance leads.
+	PromotionDelay time.Duration
 
 	mu sync.Mutex
 	// fault returns the error code with which an instance answers a statement, or an
@@ -26,6 +32,9 @@
 	// commitCount and signatureCount are the last serial numbers of commits and
 	// signatures.
 	commitCount, signatureCount int
+	// received is closed and replaced when replicas receive commits, and when an instance
+	// stops or is replaced as the primary.
+	received chan struct{}
 }
 
 // commit is an entry of a log. It holds the writes of one transaction.
@@ -42,6 +51,16 @@
 // commitLog is the log of an instance, oldest commit first.
 type commitLog []commit
 
+// contains searches from the end, where new commits are.
+func (l commitLog) contains(serial int) bool {
+	for _, c := range slices.Backward(l) {
+		if c.serial == serial {
+			return true
+		}
+	}
+	return false
+}
+
 // endSerial returns the serial of the last commit, or zero if there is none.
 func (l commitLog) endSerial() int {
 	if len(l) == 0 {
@@ -64,8 +83,10 @@
 	seq         int
 	draining    bool
 	startedAt   time.Time
-	// stopped is set after a crash. A stopped instance refuses new sessions.
+	// stopped is set after a crash. A stopped instance ends new connections.
 	stopped bool
+	// deaf is set while a replica receives nothing.
+	deaf    bool
 	closers map[*session]func()
 	// ran counts the statements that ran, by request id.
 	ran map[string]int
@@ -105,15 +126,15 @@
 	return ""
 }
 
-// commit appends a transaction to the log of the primary i and sends it to the replicas.
-// The caller holds the lock.
-func (g *Group) commit(i *Instance, writes []write) {
+// commit appends a transaction to the log of the primary i and sends it to the replicas. It
+// returns the serial of the commit. The caller holds the lock.
+func (g *Group) commit(i *Instance, writes []write) int {
 	now := time.Now()
 	g.commitCount++
 	c := commit{serial: g.commitCount, term: i.term, writes: writes, visibleAt: now.Add(g.Lag)}
 	i.log = append(i.log, c)
 	for _, other := range g.instances {
-		if other == i || other.primary || other.stopped || other.term > i.term {
+		if other == i || other.primary || other.stopped || other.deaf || other.term > i.term {
 			continue
 		}
 		if other.log.endSerial() != i.log[:len(i.log)-1].endSerial() {
@@ -122,28 +143,83 @@
 		}
 		other.term, other.log = i.term, append(other.log, c)
 	}
+	return c.serial
+}
+
+// awaitReceived waits until as many replicas have received a commit of the primary i as
+// the group requires. It returns false if i stops or is replaced before.
+func (g *Group) awaitReceived(i *Instance, serial int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for term := i.term; !i.stopped && i.primary && i.term == term; {
+		holders := 0
+		for _, other := range g.instances {
+			if other != i && !other.primary && other.log.contains(serial) {
+				holders++
+			}
+		}
+		if holders >= g.Synchronous {
+			return true
+		}
+		received := g.received
+		g.mu.Unlock()
+		<-received
+		g.mu.Lock()
+	}
+	return false
+}
+
+// notifyReceived wakes those that wait for replicas. The caller holds the lock.
+func (g *Group) notifyReceived() {
+	close(g.received)
+	g.received = make(chan struct{})
 }
 
-// promote makes an instance the primary of the next term. It returns false if the
-// instance is unknown or stopped.
+// promote makes an instance the primary of the next term after the promotion delay. It
+// returns false if the instance is unknown or stopped.
 func (g *Group) promote(id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var promoted *Instance
-	var term uint64
+	promoted := g.running(id)
+	if promoted == nil {
+		return false
+	}
+	if g.PromotionDelay == 0 {
+		g.lead(promoted)
+		return true
+	}
+	time.AfterFunc(g.PromotionDelay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if !promoted.stopped {
+			g.lead(promoted)
+		}
+	})
+	return true
+}
+
+// running returns the instance with an id, or nil if it is unknown or stopped. The caller
+// holds the lock.
+func (g *Group) running(id string) *Instance {
 	for _, i := range g.instances {
-		term = max(term, i.term)
 		if i.ID == id && !i.stopped {
-			promoted = i
+			return i
 		}
 	}
-	if promoted == nil {
-		return false
+	return nil
+}
+
+// lead makes an instance the primary of the next term, unless it is the primary of the
+// newest one. The caller holds the lock.
+func (g *Group) lead(promoted *Instance) {
+	var term uint64
+	for _, i := range g.instances {
+		term = max(term, i.term)
 	}
 	if promoted.primary && promoted.term == term {
-		return true
+		return
 	}
-	promoted.primary, promoted.term = true, term+1
+	promoted.primary, promoted.deaf, promoted.term = true, false, term+1
 	for _, i := range g.instances {
 		switch {
 		case i == promoted || i.stopped:
@@ -151,12 +227,12 @@
 			// The old primary continues for a while, as it does not yet know of its
 			// successor.
 			time.AfterFunc(demotionDelay, func() { g.demote(i) })
-		default:
+		case !i.deaf:
 			g.follow(i, promoted)
 		}
 	}
 	g.register(promoted)
-	return true
+	g.notifyReceived()
 }
 
 // demotionDelay is how long a primary continues after another was promoted.
@@ -193,6 +269,7 @@
 	}
 	i.primary, i.term = false, primary.term
 	i.log = append(commitLog(nil), primary.log...)
+	g.notifyReceived()
 }
 
 // register writes the entry of an instance to the store. The caller holds the lock.
@@ -291,7 +368,7 @@
 			continue
 		}
 		currentPrimary := g.currentPrimary()
-		i.stopped, i.draining, i.startedAt = false, false, time.Now()
+		i.stopped, i.draining, i.deaf, i.startedAt = false, false, false, time.Now()
 		for _, other := range g.instances {
 			i.primary = i.primary && other.term <= i.term
 		}
@@ -330,6 +407,51 @@
 
 // Crash stops an instance, closes its connections and deletes its entry in the store.
 func (g *Group) Crash(id string) {
+	g.Kill(id)
+	g.Lapse(id)
+}
+
+// Lapse deletes the entry of an instance in the store.
+func (g *Group) Lapse(id string) { g.store.Delete("servers", id) }
+
+// Deafen makes a replica receive nothing until Hear, or until it is promoted.
+func (g *Group) Deafen(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		i.deaf = i.deaf || i.ID == id
+	}
+}
+
+// Hear makes a replica receive again, beginning with what it has missed.
+func (g *Group) Hear(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i, primary := g.running(id), g.currentPrimary()
+	if i == nil {
+		return
+	}
+	if i.deaf = false; primary != nil && !i.primary && primary.term >= i.term {
+		g.follow(i, primary)
+	}
+}
+
+// Holds reports whether the log of an instance contains the writes of a request.
+func (g *Group) Holds(id, request string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		if i.ID == id {
+			return slices.ContainsFunc(i.log, func(c commit) bool {
+				return slices.ContainsFunc(c.writes, func(w write) bool { return w.request == request })
+			})
+		}
+	}
+	return false
+}
+
+// Kill stops an instance and closes its connections. Its entry stays until Lapse.
+func (g *Group) Kill(id string) {
 	g.mu.Lock()
 	var closers []func()
 	for _, i := range g.instances {
@@ -340,11 +462,11 @@
 			}
 		}
 	}
+	g.notifyReceived()
 	g.mu.Unlock()
 	for _, closer := range closers {
 		closer()
 	}
-	g.store.Delete("servers", id)
 }
 
 // Drain sets the state of an instance to draining in its entry: it is about to leave.
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -24,6 +24,9 @@
 	readOnly      bool
 	failed        bool
 	writes        []write
+	// committed is the serial of the commit that the current statement has made; zero for
+	// none.
+	committed int
 }
 
 // serve serves a connection until it is closed or sends anything other than a query.
@@ -44,8 +47,9 @@
 	g.mu.Lock()
 	refused := ""
 	switch {
-	case i.stopped:
-		refused = "BUSY stopped"
+	case i.stopped: // the connection ends, as with a process that is gone
+		g.mu.Unlock()
+		return
 	case fields[1] != g.Name || len(fields) > 3 && fields[3] != i.ID:
 		refused = "MISROUTED " + i.ID
 	case i.connections >= g.MaxConnections:
@@ -78,6 +82,7 @@
 		}
 		id, text, _ := strings.Cut(rest, " ")
 		g.mu.Lock()
+		s.committed = 0
 		answer := s.execute(id, text)
 		state := "I"
 		if s.failed {
@@ -85,15 +90,17 @@
 		} else if s.inTransaction {
 			state = "T"
 		}
-		answer += fmt.Sprintf("READY %s %s\r\n", state, i.positionText(time.Now()))
 		lost := g.lost > 0 && (strings.HasPrefix(text, "WRITE") || text == "COMMIT")
 		if lost {
 			g.lost--
 		}
 		g.mu.Unlock()
-		if lost {
+		if lost || s.committed != 0 && !g.awaitReceived(i, s.committed) {
 			return
 		}
+		g.mu.Lock()
+		answer += fmt.Sprintf("READY %s %s\r\n", state, i.positionText(time.Now()))
+		g.mu.Unlock()
 		if _, err := fmt.Fprint(conn, answer); err != nil {
 			return
 		}
@@ -166,6 +173,7 @@
 		if term, err := strconv.ParseUint(fields[1], 10, 64); err == nil && term > s.at.term {
 			s.at.primary = false
 			s.at.group.register(s.at)
+			s.at.group.notifyReceived()
 		}
 		return s.status()
 	case "EXECUTE":
@@ -217,7 +225,7 @@
 		if s.inTransaction {
 			s.writes = append(s.writes, w)
 		} else {
-			s.at.group.commit(s.at, []write{w})
+			s.committed = s.at.group.commit(s.at, []write{w})
 			run.Committed = []string{id}
 		}
 		return fmt.Sprintf("COMPLETE %s\r\n", s.ran(run))
@@ -237,7 +245,7 @@
 		if !s.at.primary {
 			return s.refuse("READONLY")
 		}
-		s.at.group.commit(s.at, writes)
+		s.committed = s.at.group.commit(s.at, writes)
 	}
 	s.at.ran[id]++
 	run := Run{Request: id, Verb: "COMMIT"}
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -200,7 +200,7 @@
 	if a.promotionPending() {
 		return a.promoting, !a.requestAccepted
 	}
-	successor, ok := failover.Successor(instances, statuses, a.record.Primary, a.rejectedInstance)
+	successor, ok := failover.Successor(instances, statuses, finalPosition, a.record.Primary, a.rejectedInstance)
 	if !ok {
 		return "", false
 	}
--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -60,14 +60,14 @@
 func start(t *testing.T, hosts int) *testDeployment {
 	t.Helper()
 	const perHost = 8 // hosts need no connections of another one
-	return startWithConnections(t, hosts, perHost)
+	return startWith(t, hosts, perHost, func(*deployment.Group) {})
 }
 
 // startForwarding starts a deployment whose instances accept so few connections that one
 // host holds those to an instance, and runs the commands of the others there.
 func startForwarding(t *testing.T, hosts int) *testDeployment {
 	t.Helper()
-	w := startWithConnections(t, hosts, 2*hosts)
+	w := startWith(t, hosts, 2*hosts, func(*deployment.Group) {})
 	is.New(t).True(w.forwarded() > 0)
 	return w
 }
@@ -81,13 +81,18 @@
 	return served
 }
 
-func startWithConnections(t *testing.T, hosts, connections int) *testDeployment {
+// startWith starts a deployment whose instances accept a number of connections, and calls
+// prepare for each group before the first configuration.
+func startWith(t *testing.T, hosts, connections int, prepare func(*deployment.Group)) *testDeployment {
 	t.Helper()
 	is := is.New(t)
 	zones := []string{"gondar", "woldia"}
 	d, stop, err := deployment.Start([]string{"ledger"}, zones, replicaLag, connections)
 	is.NoErr(err)
 	t.Cleanup(stop)
+	for _, g := range d.Groups {
+		prepare(g)
+	}
 	is.NoErr(d.Configure(1, tenants))
 	w := &testDeployment{Deployment: d, t: t, grace: 3 * time.Second}
 	for n := range hosts {
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -170,10 +170,12 @@
 }
 
 // Successor returns the instance with the longest log among those that answered and
-// are not excluded. Leaving instances are only chosen if there are no others. It
-// returns false if there is no candidate.
+// are not excluded. If final is known, the end of the old primary's log, entries after it
+// do not count. Among instances with equal logs, one that stays is preferred to one that is
+// leaving. It returns false if there is no candidate.
 func Successor(
-	instances []directory.Instance, statuses map[proxy.InstanceID]proxy.ReplicationStatus, excluded ...proxy.InstanceID,
+	instances []directory.Instance, statuses map[proxy.InstanceID]proxy.ReplicationStatus, final *proxy.Bookmark,
+	excluded ...proxy.InstanceID,
 ) (proxy.InstanceID, bool) {
 	candidates := make([]directory.Instance, 0, len(instances))
 	for _, i := range instances {
@@ -184,24 +186,30 @@
 	if len(candidates) == 0 {
 		return "", false
 	}
+	received := func(i directory.Instance) proxy.Bookmark {
+		position := statuses[i.ID].Received
+		if final != nil && final.Before(position) {
+			return *final
+		}
+		return position
+	}
 	return slices.MinFunc(candidates, func(a, b directory.Instance) int {
-		return compareCandidates(a, b, statuses)
+		return compareCandidates(a, b, received(a), received(b))
 	}).ID, true
 }
 
-// compareCandidates orders the better candidate first.
-func compareCandidates(a, b directory.Instance, statuses map[proxy.InstanceID]proxy.ReplicationStatus) int {
-	if a.Leaving != b.Leaving {
-		if b.Leaving {
-			return -1
-		}
-		return 1
-	}
-	x, y := statuses[a.ID].Received, statuses[b.ID].Received
+// compareCandidates orders the better candidate first. The log comes before the state:
+// commits that the successor lacks are lost, while a successor that is leaving can be
+// replaced by another planned failover.
+func compareCandidates(a, b directory.Instance, receivedByA, receivedByB proxy.Bookmark) int {
 	switch {
-	case y.Before(x):
+	case receivedByB.Before(receivedByA):
+		return -1
+	case receivedByA.Before(receivedByB):
+		return 1
+	case a.Leaving != b.Leaving && b.Leaving:
 		return -1
-	case x.Before(y):
+	case a.Leaving != b.Leaving:
 		return 1
 	default:
 		return strings.Compare(string(a.ID), string(b.ID))
