Promote only a successor that is known to have all acknowledged commits

Cause: the coordinator chose among those that had answered one round of STATUS, and sync_replicas was decoded and never used. The same choice was made where a replica was busy, its entry had lapsed, or the first successor had failed; and a primary that answered BUSY to a planned step-down counted as unreachable.

Why this works: a commit is acknowledged when the primary and s replicas have it. It is in every log that reaches the end of the old primary's, and in the longest log among so many replicas that fewer than s are missing. Nobody else is promoted; the old primary goes on if it answers again. Statuses are taken when no host uses the old primary any more, so no commit is acknowledged after them.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -69,9 +70,14 @@
 	configurationConfirmedAt, leadershipConfirmedAt proxy.Instant
 	leaderships                                     map[proxy.GroupID]*leadership
 	// failoverTime is how long the last failover took.
-	failoverTime      time.Duration
-	instances         map[proxy.InstanceID]*registeredInstance
-	positionHistories map[proxy.GroupID]*freshness.History
+	failoverTime time.Duration
+	instances    map[proxy.InstanceID]*registeredInstance
+	// departed are the instances that were removed because their entries were missing. They
+	// are kept for failover.GoneTimeout. instancesFollowedAt is when the host had first
+	// listed the instances; zero before.
+	departed            map[proxy.InstanceID]*registeredInstance
+	instancesFollowedAt proxy.Instant
+	positionHistories   map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
 	// membersChangedAt is when the hosts last changed.
@@ -102,6 +108,7 @@
 		failoverTime:      assumedFailoverTime,
 		leaderships:       make(map[proxy.GroupID]*leadership),
 		instances:         make(map[proxy.InstanceID]*registeredInstance),
+		departed:          make(map[proxy.InstanceID]*registeredInstance),
 		positionHistories: make(map[proxy.GroupID]*freshness.History),
 		members:           make(map[proxy.HostID]*member),
 		holders:           make(map[proxy.InstanceID][]proxy.HostID),
@@ -270,15 +277,64 @@
 			found = append(found, i.Instance)
 		}
 	}
-	slices.SortFunc(found, func(r, s directory.Instance) int {
-		if r.ID < s.ID {
-			return -1
-		}
-		return 1
-	})
+	sortInstances(found)
 	return found
 }
 
+func sortInstances(instances []directory.Instance) {
+	slices.SortFunc(instances, func(a, b directory.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// possibleInstances returns the registered instances of a group and those that left the
+// store less than failover.GoneTimeout ago, ordered by ID: any of them may have commits that
+// the others lack. An instance whose address another one has taken over is gone. Partial
+// reports that this host may not know of some that have left.
+func (s *clusterState) possibleInstances(now proxy.Instant, id proxy.GroupID) (found []directory.Instance, partial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make(map[string]bool)
+	for _, i := range s.instances {
+		if i.missingSince == 0 {
+			addresses[i.Address] = true
+			if i.Group == id {
+				found = append(found, i.Instance)
+			}
+		}
+	}
+	for _, left := range []map[proxy.InstanceID]*registeredInstance{s.instances, s.departed} {
+		for _, i := range left {
+			if i.Group == id && i.missingSince != 0 && !addresses[i.Address] {
+				found = append(found, i.Instance)
+			}
+		}
+	}
+	sortInstances(found)
+	return found, s.instancesFollowedAt == 0 || now.Sub(s.instancesFollowedAt) < failover.HistoryTime
+}
+
+// knownInstance returns an instance that is registered, or that has left the store recently.
+func (s *clusterState) knownInstance(id proxy.InstanceID) (directory.Instance, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range []map[proxy.InstanceID]*registeredInstance{s.instances, s.departed} {
+		if i := known[id]; i != nil {
+			return i.Instance, true
+		}
+	}
+	return directory.Instance{}, false
+}
+
+// synchronousReplicas returns the number of replicas that receive a commit of a group
+// before it is acknowledged.
+func (s *clusterState) synchronousReplicas(id proxy.GroupID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configuration == nil {
+		return 0
+	}
+	return s.configuration.Groups[id].Synchronous
+}
+
 // addSuspect records that an attempt to reach an instance has failed.
 func (s *clusterState) addSuspect(now proxy.Instant, id proxy.InstanceID) {
 	s.mu.Lock()
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -43,9 +43,12 @@
 	// probeTimeout limits the opening of a connection for a probe and the exchange on
 	// it.
 	probeTimeout = 500 * time.Millisecond
-	// catchUpTimeout limits how long a failover waits for the successor to receive
-	// all that the old primary had committed before it stepped down.
-	catchUpTimeout = 1500 * time.Millisecond
+	// stepDownTimeout limits how long a failover waits for an old primary that answers that
+	// it is busy.
+	stepDownTimeout = 600 * time.Millisecond
+	// rejectionPause is the pause before the promotion of an instance is requested again
+	// that the platform has rejected.
+	rejectionPause = time.Second
 )
 
 var errSuperseded = eris.New("failover attempt has expired or another host has changed the leadership record")
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -12,7 +12,6 @@
 	"github.com/auburnyoke/auburnyoke/internal/peering"
 	"github.com/auburnyoke/auburnyoke/internal/timing"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
-	"github.com/auburnyoke/auburnyoke/pkg/proxy/directory"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
@@ -40,10 +39,18 @@
 	// promoting is the instance whose promotion this attempt requested. requestedAt is
 	// the time of the first request for it. requestAccepted reports that the platform
 	// has accepted the last request. rejectedInstance is the instance whose promotion
-	// the platform last rejected.
+	// the platform last rejected, at rejectedAt.
 	promoting, rejectedInstance proxy.InstanceID
-	requestedAt                 proxy.Instant
+	requestedAt, rejectedAt     proxy.Instant
 	requestAccepted             bool
+	// finalPosition is the end of the old primary's log, which it reported when it had
+	// stepped down at steppedDownAt; nil if it is not known. stepDownTriedAt is when it was
+	// first asked to, stepDownRefused that its last answer was a refusal.
+	finalPosition                  *proxy.Bookmark
+	steppedDownAt, stepDownTriedAt proxy.Instant
+	stepDownRefused                bool
+	// missingLogged reports that logMissing has logged.
+	missingLogged bool
 	// storeFailingSince is when the store began to leave the attempt without answers; zero
 	// while it answers. The lock of the cluster state guards it and version.
 	storeFailingSince proxy.Instant
@@ -153,27 +160,34 @@
 }
 
 // coordinate retires the old primary, has a successor promoted, and records it. It
-// returns the new primary. If only the record was overwritten, the old primary may remain.
+// returns the new primary. The old primary may remain if only the record was overwritten, or
+// if it answers again before there is a successor.
 func (a *failoverAttempt) coordinate(ctx context.Context) (proxy.InstanceID, error) {
 	if err := a.awaitRetirement(ctx); err != nil {
 		return "", err
 	}
 	overwritten := a.reason == failover.Overwritten
-	var finalPosition *proxy.Bookmark
-	if !overwritten {
-		finalPosition = a.stepDown()
-	}
 	for a.mayContinue() {
-		instances := a.host.clusterState.groupInstances(a.group)
-		statuses := a.host.inspectAll(instances)
-		primary, ok := failover.CurrentPrimary(statuses)
+		if !overwritten && (a.stepDownTriedAt == 0 || a.stepDownRefused) {
+			a.stepDown()
+		}
+		election := a.election()
+		primary, ok := failover.CurrentPrimary(election.Statuses)
 		// A newer term is known to most instances, if not to the old primary.
-		kept := overwritten && 2*len(statuses) > len(instances)
+		kept := overwritten && 2*len(election.Statuses) > len(election.Instances)
 		if ok && (primary != a.record.Primary || kept) && (primary == a.promoting || !a.promotionPending()) {
 			return primary, a.recordPrimary(ctx, primary)
 		}
-		if target, ok := a.target(instances, statuses, finalPosition); ok {
+		target, found := a.target(election)
+		switch {
+		case found:
 			a.requestPromotion(ctx, target)
+		case ok && primary == a.record.Primary && a.mayKeepPrimary(election):
+			a.host.Log.Info().Str("group", string(a.group)).Str("primary", string(primary)).
+				Msg("primary answers again and is kept")
+			return primary, a.recordPrimary(ctx, primary)
+		case election.Synchronous > 0 && !a.promotionPending():
+			a.logMissing(election)
 		}
 		if !timing.Sleep(ctx, pollInterval) {
 			return "", ctx.Err()
@@ -182,6 +196,29 @@
 	return "", eris.New("failover did not complete within the time of an attempt")
 }
 
+// election inspects the instances of the group and returns the state of the election.
+func (a *failoverAttempt) election() failover.Election {
+	cs := a.host.clusterState
+	e := failover.Election{
+		Primary: a.record.Primary, Synchronous: cs.synchronousReplicas(a.group), Final: a.finalPosition,
+		Waited: a.host.Clock.Now().Sub(a.acknowledgedAt),
+	}
+	if e.Synchronous == 0 {
+		e.Instances = cs.groupInstances(a.group)
+	} else {
+		e.Instances, e.Partial = cs.possibleInstances(a.host.Clock.Now(), a.group)
+	}
+	e.Statuses = a.host.inspectAll(e.Instances)
+	now := a.host.Clock.Now()
+	if a.finalPosition != nil {
+		e.SteppedDown = now.Sub(a.steppedDownAt)
+	}
+	if a.rejectedInstance != "" && now.Sub(a.rejectedAt) < rejectionPause {
+		e.Rejected = a.rejectedInstance
+	}
+	return e
+}
+
 // promotionPending reports whether a promotion request of this attempt may still take
 // effect.
 func (a *failoverAttempt) promotionPending() bool {
@@ -190,25 +227,41 @@
 
 // target returns the instance whose promotion to request now, or false if there is
 // nothing to request. While a promotion is pending, its request is repeated until the
-// platform has accepted it. Otherwise the target is the best successor. If the old
-// primary's finalPosition is known, the successor must have received the log up to it
-// before it is promoted. This requirement is dropped once failover.Lease plus
-// catchUpTimeout have passed since the store acknowledged the record.
-func (a *failoverAttempt) target(
-	instances []directory.Instance, statuses map[proxy.InstanceID]proxy.ReplicationStatus, finalPosition *proxy.Bookmark,
-) (proxy.InstanceID, bool) {
+// platform has accepted it. Otherwise the target is the successor of the election. It
+// waits for a busy primary to step down.
+func (a *failoverAttempt) target(e failover.Election) (proxy.InstanceID, bool) {
 	if a.promotionPending() {
 		return a.promoting, !a.requestAccepted
 	}
-	successor, ok := failover.Successor(instances, statuses, finalPosition, a.record.Primary, a.rejectedInstance)
-	if !ok {
+	if a.stepDownRefused && a.host.Clock.Now().Sub(a.stepDownTriedAt) < stepDownTimeout {
 		return "", false
 	}
-	waitExpired := a.host.Clock.Now().Sub(a.acknowledgedAt) > failover.Lease+catchUpTimeout
-	if finalPosition != nil && statuses[successor].Received.Before(*finalPosition) && !waitExpired {
-		return "", false
+	return e.Successor()
+}
+
+// logMissing logs once that no instance is known to have all acknowledged commits, and
+// which instances have not answered.
+func (a *failoverAttempt) logMissing(e failover.Election) {
+	if a.missingLogged {
+		return
+	}
+	a.missingLogged = true
+	var missing []string
+	for _, i := range e.Instances {
+		if _, ok := e.Statuses[i.ID]; !ok {
+			missing = append(missing, string(i.ID))
+		}
 	}
-	return successor, true
+	a.host.Log.Warn().Str("group", string(a.group)).Strs("missing", missing).Bool("partial", e.Partial).
+		Msg("no instance is known to have all acknowledged commits")
+}
+
+// mayKeepPrimary reports whether the old primary, which answers as the primary of the
+// newest term, may go on. No promotion that could still take effect may have been
+// requested, by an earlier attempt either.
+func (a *failoverAttempt) mayKeepPrimary(e failover.Election) bool {
+	return e.Synchronous > 0 && a.reason != failover.Leaving && a.promoting == "" &&
+		(!a.takenOver || e.Waited > failover.PromotionTimeout)
 }
 
 // requestPromotion requests the promotion of target and records the result.
@@ -224,7 +277,7 @@
 	}
 	a.host.Log.Warn().Err(err).Str("group", string(a.group)).Bool("sent", sent).Msg("promotion was not accepted")
 	if errors.Is(err, proxy.ErrConflict) && first {
-		a.promoting, a.rejectedInstance = "", target
+		a.promoting, a.rejectedInstance, a.rejectedAt = "", target, a.host.Clock.Now()
 	}
 }
 
@@ -287,31 +340,28 @@
 	return len(a.unconfirmedHosts) == 0
 }
 
-// stepDown makes the old primary a replica if it can be reached, and returns the end
-// of its log.
-func (a *failoverAttempt) stepDown() *proxy.Bookmark {
-	cs := a.host.clusterState
-	cs.mu.Lock()
-	old, ok := cs.instances[a.record.Primary]
-	cs.mu.Unlock()
-	if !ok {
-		return nil
+// stepDown makes the old primary a replica if it can be reached, and records the end of
+// its log.
+func (a *failoverAttempt) stepDown() {
+	if a.stepDownTriedAt == 0 {
+		a.stepDownTriedAt = a.host.Clock.Now()
 	}
-	status, err := a.host.inspect(old.Instance)
-	if err != nil {
-		a.host.Log.Info().Err(err).Str("instance", string(old.ID)).Msg("old primary was not reached")
-		return nil
+	a.stepDownRefused = false
+	old, ok := a.host.clusterState.knownInstance(a.record.Primary)
+	if !ok {
+		return
 	}
-	if !status.Primary {
-		return &status.Received
+	status, err := a.host.inspect(old)
+	if err == nil && status.Primary {
+		status, err = a.host.queryStatus(old, proxy.Statement{Verb: proxy.StepDown, Term: status.Term + 1})
 	}
-	command := proxy.Statement{Verb: proxy.StepDown, Term: status.Term + 1}
-	status, err = a.host.queryStatus(old.Instance, command)
 	if err != nil {
-		a.host.Log.Warn().Err(err).Str("instance", string(old.ID)).Msg("old primary did not step down")
-		return nil
+		var failure *proxy.Failure
+		a.stepDownRefused = errors.As(err, &failure)
+		a.host.Log.Info().Err(err).Str("instance", string(old.ID)).Msg("old primary did not step down")
+		return
 	}
-	return &status.Received
+	a.finalPosition, a.steppedDownAt = &status.Received, a.host.Clock.Now()
 }
 
 // sendPromotion requests a promotion with the record's version as the fencing token,
--- a/internal/entry/synchronous_test.go
+++ b/internal/entry/synchronous_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 )
 
@@ -149,3 +151,117 @@
 	c.awaitMore()
 	c.checkNothingLost()
 }
+
+// outage is how long instances stay away. Without the wait for them, another one is promoted
+// before.
+const outage = 3 * time.Second
+
+// Guards against a successor without commits that only an instance has which does not answer
+// at the moment: it is down, its entry has lapsed besides, or it is busy.
+func TestSuccessorWaitsForTheReplicaWithTheCommits(t *testing.T) {
+	for name, test := range map[string]struct {
+		leave, back func(g *deployment.Group, id string)
+	}{
+		"down":                  {(*deployment.Group).Kill, (*deployment.Group).Restart},
+		"down without an entry": {(*deployment.Group).Crash, (*deployment.Group).Restart},
+		"busy": {
+			func(g *deployment.Group, id string) {
+				g.SetFault(func(instance, text string) string {
+					if instance == id && text == "STATUS" {
+						return "BUSY"
+					}
+					return ""
+				})
+			},
+			func(g *deployment.Group, _ string) { g.SetFault(nil) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, c := startSynchronous(t, 2)
+			g := w.Groups[0]
+			primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
+			g.Deafen(far)
+			c.awaitMore()
+			g.Kill(primary)
+			test.leave(g, near)
+			time.Sleep(outage)
+			test.back(g, near)
+			w.awaitPrimary(func(id string) bool { return id != primary })
+			g.Hear(far)
+			c.awaitMore()
+			c.checkNothingLost()
+		})
+	}
+}
+
+// Guards against a group without a primary when the old one is back and no other instance
+// has all commits.
+func TestReturningPrimaryGoesOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w, c := startSynchronous(t, 2)
+	g := w.Groups[0]
+	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
+	g.Deafen(far)
+	c.awaitMore()
+	g.Kill(primary)
+	g.Kill(near)
+	w.awaitLeadership("replacing")
+	time.Sleep(outage)
+	g.Restart(primary)
+	g.Hear(far)
+	c.awaitMore()
+	is.Equal(w.Promotions.Load(), int64(0))
+	is.Equal(g.Primary(), primary)
+	c.checkNothingLost()
+}
+
+// Guards against another promotion, of an instance without all commits, after the first
+// successor has failed.
+func TestSuccessorThatFails(t *testing.T) {
+	t.Parallel()
+	w, c := startSynchronous(t, 2)
+	g := w.Groups[0]
+	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
+	g.Deafen(far)
+	c.awaitMore()
+	g.Kill(primary)
+	for w.Promotions.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.Kill(near) // before it leads
+	time.Sleep(2 * outage)
+	g.Restart(near)
+	w.awaitPrimary(func(id string) bool { return id != primary })
+	g.Hear(far)
+	c.awaitMore()
+	c.checkNothingLost()
+}
+
+// Guards against a planned change to an instance without all commits: the old primary is
+// busy when it is asked to step down, and the only replica with the commits is down.
+func TestPlannedChangeKeepsTheCommits(t *testing.T) {
+	t.Parallel()
+	w, c := startSynchronous(t, 2)
+	g := w.Groups[0]
+	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
+	g.Deafen(far)
+	c.awaitMore()
+	busy := 10
+	g.SetFault(func(instance, text string) string {
+		if instance == primary && text == "STATUS" && busy > 0 {
+			busy--
+			return "BUSY"
+		}
+		return ""
+	})
+	g.Kill(near)
+	g.Drain(primary)
+	time.Sleep(outage)
+	g.Restart(near)
+	w.awaitPrimary(func(id string) bool { return id != primary })
+	g.Hear(far)
+	c.awaitMore()
+	c.checkNothingLost()
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -202,6 +202,9 @@
 	}
 	cs := h.clusterState
 	cs.mu.Lock()
+	if cs.instancesFollowedAt == 0 {
+		cs.instancesFollowedAt = h.Clock.Now()
+	}
 	for id, i := range cs.instances {
 		if !present[id] && i.missingSince == 0 {
 			i.missingSince = h.Clock.Now()
@@ -257,6 +260,7 @@
 	entry.leavingSince = conditionSince(entry.leavingSince, i.Leaving, now)
 	entry.demotedSince = conditionSince(entry.demotedSince, !i.Primary, now)
 	cs.instances[id] = entry
+	delete(cs.departed, id)
 	h.Log.Info().Str("instance", string(id)).Str("group", string(i.Group)).Str("zone", string(i.Zone)).
 		Bool("leaving", i.Leaving).Bool("primary", i.Primary).Str("address", i.Address).Msg("instance changed")
 }
@@ -275,7 +279,7 @@
 }
 
 // expireInstances removes instances whose entries have been missing for
-// absenceTimeout, and retires leaving instances whose drain time ends.
+// absenceTimeout, forgets those that have been missing for failover.GoneTimeout, and retires leaving instances whose drain time ends.
 func (h *Host) expireInstances(now proxy.Instant) {
 	cs := h.clusterState
 	cs.mu.Lock()
@@ -288,9 +292,15 @@
 		}
 		if gone {
 			delete(cs.instances, id)
+			cs.departed[id] = i
 		}
 		i.retired = i.retired || drained
 	}
+	for id, i := range cs.departed {
+		if now.Sub(i.missingSince) > failover.GoneTimeout {
+			delete(cs.departed, id)
+		}
+	}
 	cs.mu.Unlock()
 	if expired {
 		h.updateDispatch()
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -10,8 +10,6 @@
 package failover
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,6 +53,9 @@
 	// demotedTimeout is how long a primary's entry may report another role, since the
 	// entry and the record do not change at the same time.
 	demotedTimeout = 2 * time.Second
+	// CatchUpTimeout limits how long, after the leases of all hosts have expired, a failover
+	// waits for the successor to receive all that the old primary had committed.
+	CatchUpTimeout = 1500 * time.Millisecond
 )
 
 // Phase is the state of a leadership record.
@@ -168,50 +169,3 @@
 	}
 	return "", false
 }
-
-// Successor returns the instance with the longest log among those that answered and
-// are not excluded. If final is known, the end of the old primary's log, entries after it
-// do not count. Among instances with equal logs, one that stays is preferred to one that is
-// leaving. It returns false if there is no candidate.
-func Successor(
-	instances []directory.Instance, statuses map[proxy.InstanceID]proxy.ReplicationStatus, final *proxy.Bookmark,
-	excluded ...proxy.InstanceID,
-) (proxy.InstanceID, bool) {
-	candidates := make([]directory.Instance, 0, len(instances))
-	for _, i := range instances {
-		if _, ok := statuses[i.ID]; ok && !slices.Contains(excluded, i.ID) {
-			candidates = append(candidates, i)
-		}
-	}
-	if len(candidates) == 0 {
-		return "", false
-	}
-	received := func(i directory.Instance) proxy.Bookmark {
-		position := statuses[i.ID].Received
-		if final != nil && final.Before(position) {
-			return *final
-		}
-		return position
-	}
-	return slices.MinFunc(candidates, func(a, b directory.Instance) int {
-		return compareCandidates(a, b, received(a), received(b))
-	}).ID, true
-}
-
-// compareCandidates orders the better candidate first. The log comes before the state:
-// commits that the successor lacks are lost, while a successor that is leaving can be
-// replaced by another planned failover.
-func compareCandidates(a, b directory.Instance, receivedByA, receivedByB proxy.Bookmark) int {
-	switch {
-	case receivedByB.Before(receivedByA):
-		return -1
-	case receivedByA.Before(receivedByB):
-		return 1
-	case a.Leaving != b.Leaving && b.Leaving:
-		return -1
-	case a.Leaving != b.Leaving:
-		return 1
-	default:
-		return strings.Compare(string(a.ID), string(b.ID))
-	}
-}
--- a/pkg/proxy/failover/failover_test.go
+++ b/pkg/proxy/failover/failover_test.go
@@ -30,43 +30,6 @@
 	is.Equal(primary, proxy.InstanceID("new"))
 }
 
-// Guards against the loss of commits that only an instance holds that is about to leave, and
-// against a successor that is about to leave although another one is as good.
-func TestSuccessorHasTheLongestLog(t *testing.T) {
-	instances := []directory.Instance{{ID: "a"}, {ID: "b"}, {ID: "c", Leaving: true}, {ID: "d"}}
-	answers := func(a, b, c proxy.Position) map[proxy.InstanceID]proxy.ReplicationStatus {
-		return map[proxy.InstanceID]proxy.ReplicationStatus{
-			"a": status(false, 1, a), "b": status(false, 1, b), "c": status(false, 1, c),
-		}
-	}
-	final := &proxy.Bookmark{Term: 1, Position: 6}
-	for name, test := range map[string]struct {
-		statuses map[proxy.InstanceID]proxy.ReplicationStatus
-		final    *proxy.Bookmark
-		excluded []proxy.InstanceID
-		want     proxy.InstanceID
-	}{
-		"longest":                     {answers(5, 6, 4), nil, nil, "b"},
-		"longest is excluded":         {answers(7, 6, 4), nil, []proxy.InstanceID{"a"}, "b"},
-		"longest is leaving":          {answers(5, 6, 9), nil, nil, "c"},
-		"equal to one that leaves":    {answers(5, 9, 9), nil, nil, "b"},
-		"leaving is the only one":     {answers(5, 6, 9), nil, []proxy.InstanceID{"a", "b"}, "c"},
-		"beyond the end of the log":   {answers(5, 6, 9), final, nil, "b"},
-		"only the leaving has it all": {answers(5, 5, 9), final, nil, "c"},
-		"newer term":                  {map[proxy.InstanceID]proxy.ReplicationStatus{"a": status(false, 2, 3), "b": status(false, 1, 9)}, nil, nil, "a"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			successor, ok := failover.Successor(instances, test.statuses, test.final, test.excluded...)
-			is.True(ok)
-			is.Equal(successor, test.want)
-		})
-	}
-	is := is.New(t)
-	_, ok := failover.Successor(instances, nil, nil, "a")
-	is.True(!ok)
-}
-
 // Guards against a promotion while a host may still acknowledge writes on the old
 // primary.
 func TestRetiredNeedsEveryHostOrTheLease(t *testing.T) {
