Answer every statement before a planned stop ends

Cause: sessions with an open transaction were left alone until the end of the stop, and were cut off then; commands of other hosts likewise. Found beside it: the answer to the last command of another host was not waited for; a session whose startup was being processed was not counted; a COMMIT was called in doubt although the connection to its holder was known to be closed before it was sent.

Ruled out: the wait for the lease after a write and the opening of transactions, which are bounded by the route's timeout; both are limited by the stop's schedule now as well.

Why this works: from 0.7 s before its end a stopping host sends no statement to an instance and answers with a promise; from 0.3 s before, it gives up on those that are running and answers them as at their deadline. What was read is therefore answered before the end. Work of other hosts is counted until its result is sent.

--- a/internal/emulator/deployment/group.go
+++ b/internal/emulator/deployment/group.go
@@ -24,6 +24,9 @@
 	// fault returns the error code with which an instance answers a statement, or an
 	// empty string if the instance runs it. It may be nil.
 	fault func(instance, text string) string
+	// work returns how long an instance works on a statement before the statement takes
+	// effect. It may be nil.
+	work func(text string) time.Duration
 	// lost is the number of coming writes and commits whose answers are lost.
 	lost      int
 	store     *Store
@@ -501,6 +504,14 @@
 	g.fault = fault
 }
 
+// SetWork sets how long instances work on a statement before it takes effect; nil for no
+// time.
+func (g *Group) SetWork(work func(text string) time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.work = work
+}
+
 // LoseAnswers makes the instances of the group run the next writes and commits and close
 // the connection instead of answering them.
 func (g *Group) LoseAnswers(writes int) {
--- a/internal/emulator/deployment/session.go
+++ b/internal/emulator/deployment/session.go
@@ -82,6 +82,11 @@
 		}
 		id, text, _ := strings.Cut(rest, " ")
 		g.mu.Lock()
+		if work := g.work; work != nil {
+			g.mu.Unlock()
+			time.Sleep(work(text))
+			g.mu.Lock()
+		}
 		s.committed = 0
 		answer := s.execute(id, text)
 		state := "I"
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/auburnyoke/auburnyoke/internal/forward"
 	"github.com/auburnyoke/auburnyoke/internal/tcp"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy"
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/balance"
@@ -44,10 +43,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("commands of other hosts: %w", err)
 	}
-	server := &forward.Server{Executor: servedExecutor{ownExecutor{h}}, HoldTimeout: holdTimeout, Log: h.Log}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	go func() {
-		if err := server.Run(serving, listener); err != nil {
+		if err := h.forwardServer.Run(serving, listener); err != nil {
 			h.Log.Warn().Err(err).Msg("commands of other hosts are not served")
 		}
 	}()
--- a/internal/entry/executor.go
+++ b/internal/entry/executor.go
@@ -36,7 +36,7 @@
 func (x ownExecutor) Execute(ctx context.Context, e proxy.Execution) (proxy.Executed, proxy.HeldConnection) {
 	h := x.host
 	start := h.Clock.Now()
-	r := &execution{host: h, Execution: e, expires: start.Add(e.Expires), due: start.Add(e.Due)}
+	r := &execution{host: h, Execution: e, expires: h.limitDeadline(start.Add(e.Expires)), due: start.Add(e.Due)}
 	result, held := r.run(ctx)
 	result.Waited = r.waited
 	result.Load = h.table.QueueLoad(h.Clock.Now(), e.Instance)
@@ -44,25 +44,31 @@
 	return result, held
 }
 
-// servedExecutor runs commands for other hosts. It counts them and the connections that
-// are held for other hosts, since a stopping host waits for them.
+// servedExecutor runs commands for other hosts.
 type servedExecutor struct{ ownExecutor }
 
 // Execute implements proxy.Executor.
 func (x servedExecutor) Execute(ctx context.Context, e proxy.Execution) (proxy.Executed, proxy.HeldConnection) {
 	h := x.host
-	h.served.Add(1)
-	defer h.served.Add(-1)
+	if h.refusesStatements() {
+		return h.unserved(), nil
+	}
 	arrived := h.Clock.Now()
 	result, held := x.ownExecutor.Execute(ctx, e)
 	h.recordServed(e, result, arrived)
 	if held == nil {
 		return result, nil
 	}
-	h.served.Add(1)
 	return result, &servedHeld{HeldConnection: held, host: h}
 }
 
+// unserved returns the result of a command that came too late to be run here.
+func (h *Host) unserved() proxy.Executed {
+	return proxy.Executed{Leaving: true, Refusal: &proxy.NotExecuted{Cause: proxy.Unserved, Failure: proxy.Failure{
+		Code: proxy.Busy, Text: stopRefusal, RetryAfter: retryDelay,
+	}}}
+}
+
 // servedHeld is a connection that is held for another host.
 type servedHeld struct {
 	proxy.HeldConnection
@@ -71,21 +77,16 @@
 
 // Execute implements proxy.HeldConnection.
 func (s *servedHeld) Execute(ctx context.Context, e proxy.Execution) (proxy.Executed, bool) {
+	if s.host.refusesStatements() {
+		s.Release()
+		return s.host.unserved(), true
+	}
 	arrived := s.host.Clock.Now()
 	result, released := s.HeldConnection.Execute(ctx, e)
 	s.host.recordServed(e, result, arrived)
-	if released {
-		s.host.served.Add(-1)
-	}
 	return result, released
 }
 
-// Release implements proxy.HeldConnection.
-func (s *servedHeld) Release() {
-	s.HeldConnection.Release()
-	s.host.served.Add(-1)
-}
-
 // execution is the state of a command over its tries.
 type execution struct {
 	proxy.Execution
@@ -201,12 +202,13 @@
 // not known whether the commands ran.
 func (h *Host) openConnection(c *dispatch.Connection, deferOpen bool) *proxy.NotExecuted {
 	sent := h.Clock.Now()
+	timeout := max(h.limitDeadline(sent.Add(dialTimeout)).Sub(sent), minExchangeTimeout)
 	var position *proxy.Bookmark
 	var err error
 	if deferOpen {
-		c.Conn, err = h.Dialer.DialDeferred(dialTimeout, c.Target)
+		c.Conn, err = h.Dialer.DialDeferred(timeout, c.Target)
 	} else {
-		c.Conn, position, err = h.Dialer.Dial(dialTimeout, c.Target)
+		c.Conn, position, err = h.Dialer.Dial(timeout, c.Target)
 	}
 	if err != nil {
 		return h.discardUnopened(c, err, false)
@@ -496,7 +498,7 @@
 // Execute implements proxy.HeldConnection.
 func (o *ownHeld) Execute(_ context.Context, e proxy.Execution) (proxy.Executed, bool) {
 	h := o.host
-	expires := h.Clock.Now().Add(e.Expires)
+	expires := h.limitDeadline(h.Clock.Now().Add(e.Expires))
 	h.table.Resume(h.Clock.Now(), o.c)
 	answer, err := o.exchange(&e, expires)
 	var unsent *unsentError
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -98,13 +98,16 @@
 	// are guarded by the lock of the cluster state.
 	rateShareInUse, membersChanged bool
 	lastSessionID                  atomic.Uint64
-	// served counts the commands and held connections of other hosts.
-	served      atomic.Int64
-	openClients atomic.Int64
+	forwardServer                  *forward.Server
+	openClients                    atomic.Int64
+	// opening counts the clients whose startup message is being processed.
+	opening atomic.Int64
 	// stopping reports that the host was told to stop, closing that it also closes its
 	// sessions.
 	stopping, closing atomic.Bool
-	open              sessionSet
+	// stopSchedule is set when the host is told to stop.
+	stopSchedule atomic.Pointer[stopSchedule]
+	open         sessionSet
 	// logLimit limits the log lines about requests; see recordAnswer.
 	logLimit logLimit
 }
@@ -154,6 +157,7 @@
 		return fmt.Errorf("create client of other hosts: %w", err)
 	}
 	h.forwarder.OnSilence = h.markSilent
+	h.forwardServer = &forward.Server{Executor: servedExecutor{ownExecutor{h}}, HoldTimeout: holdTimeout, Log: h.Log}
 	h.allowances = &allowance.Table{Self: h.Settings.Host, HandoverDelay: joinWait}
 	h.peerEndpoint = &peering.Endpoint{
 		Log: h.Log, Clock: h.Clock, Allowances: h.allowances, Random: randv2.Uint64,
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -136,6 +136,9 @@
 func (h *Host) serveSession(s *session, conn net.Conn) {
 	client := h.Client(conn)
 	database, key, err := client.Startup()
+	h.opening.Add(1)
+	opened := sync.OnceFunc(func() { h.opening.Add(-1) })
+	defer opened()
 	if err == nil {
 		err = h.admitSession(database, key)
 	}
@@ -155,6 +158,7 @@
 	s.clientConn, s.database, s.key = client, database, key
 	h.open.add(s)
 	defer h.open.remove(s)
+	opened()
 	s.run()
 	s.release()
 }
@@ -196,10 +200,12 @@
 		statement, err := s.clientConn.Next(waitTimeout)
 		arrived := s.host.Clock.Now()
 		if errors.Is(err, proxy.ErrIdle) {
-			if ending {
+			switch {
+			case ending:
 				return
+			case !s.interrupted():
+				s.endIdleTransaction()
 			}
-			s.endIdleTransaction()
 			continue
 		}
 		var failure *proxy.Failure
@@ -242,12 +248,19 @@
 	return s.transaction == nil && s.host.closing.Load() && !s.clientConn.Buffered()
 }
 
+// interrupted reports whether a graceful stop has ended the last wait for a statement.
+func (s *session) interrupted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.interruptSent
+}
+
 // beginWait reports whether the next wait for a statement is the session's last. A last
 // wait is not interrupted.
 func (s *session) beginWait() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ending := s.transaction == nil && s.host.closing.Load()
+	ending := s.transaction == nil && s.host.closing.Load() || s.host.refusesStatements()
 	s.interruptSent = s.interruptSent || ending
 	return ending
 }
@@ -350,6 +363,9 @@
 // route, a valid key unless the route is open, and a token of the account's rate.
 func (s *session) admit(st proxy.Statement, arrived proxy.Instant) (operation, *proxy.Failure) {
 	op := operation{arrived: arrived, id: st.ID}
+	if s.host.refusesStatements() {
+		return op, &proxy.Failure{Code: proxy.Busy, Text: stopRefusal}
+	}
 	c, failure := s.host.confirmedConfiguration(arrived)
 	if failure != nil {
 		return op, failure
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -38,7 +38,10 @@
 	mayHaveRun bool
 }
 
-func (t *singleStatement) deadline() proxy.Instant { return t.arrived.Add(t.route.Timeout) }
+// deadline returns until when the host tries to run the statement.
+func (h *Host) deadline(t *singleStatement) proxy.Instant {
+	return h.limitDeadline(t.arrived.Add(t.route.Timeout))
+}
 
 // runSingle runs a statement outside a transaction.
 func (s *session) runSingle(op operation, st proxy.Statement) proxy.Answer {
@@ -50,7 +53,7 @@
 	s.trace.group = op.route.Group
 	for {
 		answer, retry := s.tryOnce(t)
-		if !retry || t.tries.exhausted() || s.host.Clock.Now().Add(minRetryTime) >= t.deadline() {
+		if !retry || t.tries.exhausted() || s.host.Clock.Now().Add(minRetryTime) >= s.host.deadline(t) {
 			return t.correctRefusal(answer)
 		}
 		s.host.Metrics.retried.Inc(1)
@@ -77,7 +80,7 @@
 	h := s.host
 	after, bounded := s.requiredPosition(t.operation)
 	primary := t.primary || !bounded
-	choice, failure := s.choose(t.operation, t.tries.request(primary), t.deadline().Add(-acquireMargin))
+	choice, failure := s.choose(t.operation, t.tries.request(primary), h.deadline(t).Add(-acquireMargin))
 	if failure != nil {
 		return s.failure(failure), false
 	}
@@ -92,7 +95,7 @@
 	} else {
 		command.After = &after
 	}
-	result, _ := s.execute(t.operation, choice, command, t.deadline(), false)
+	result, _ := s.execute(t.operation, choice, command, h.deadline(t), false)
 	switch {
 	case result.Refusal != nil:
 		retry := t.tries.refused(choice, result.Refusal, primary, s.instanceCount(t.operation))
@@ -248,12 +251,15 @@
 // confirmation from the store, for at most the wait of a watch.
 func (h *Host) leadershipHolds(group proxy.GroupID, version proxy.Version) bool {
 	start := h.Clock.Now()
-	for now := start; now.Sub(start) < confirmationWait; now = h.Clock.Now() {
+	for {
+		now := h.Clock.Now()
 		stillPrimary, known := h.clusterState.stillPrimary(now, group, version)
 		if known || !stillPrimary {
 			return stillPrimary
 		}
+		if now >= h.limitDeadline(start.Add(confirmationWait)) {
+			return false
+		}
 		time.Sleep(leadershipPollInterval)
 	}
-	return false
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -213,3 +214,107 @@
 	w.awaitLeadership(`"host":"host-1"`)
 	w.awaitLeadership("settled")
 }
+
+// transactions are clients that run one transaction after the other, with pauses, until their
+// host ends the connection.
+type transactions struct {
+	deployment *testDeployment
+	wait       sync.WaitGroup
+	mu         sync.Mutex
+	// committed counts the transactions that were committed, doubtful those whose commit was
+	// answered as in doubt. lost are the requests that an instance ran and that got no answer.
+	committed, doubtful int
+	lost                []string
+}
+
+// longWork is how long an instance works on a read.
+const longWork = 120 * time.Millisecond
+
+func workOnReads(text string) time.Duration {
+	if strings.Contains(text, "READ item") {
+		return longWork
+	}
+	return 0
+}
+
+// run runs transactions of ten statements with pauses on a host.
+func (c *transactions) run(host, number int) {
+	client, hello := dial(c.deployment.hosts[host], "ledger-strict", "key-clerks")
+	if client == nil || hello != "READY I -" {
+		return
+	}
+	defer client.close()
+	for n := 0; ; n++ {
+		texts := []string{"BEGIN"}
+		for s := range 8 {
+			texts = append(texts, []string{"READ item", "WRITE item-%d v"}[s%2])
+		}
+		for s, text := range append(texts, "COMMIT") {
+			id := fmt.Sprintf("h%d-c%d-%d-%d", host, number, n, s)
+			if strings.Contains(text, "%d") {
+				text = fmt.Sprintf(text, number)
+			}
+			answer := client.queryAs(id, text)
+			if !c.record(id, text, answer) {
+				return
+			}
+			if !strings.HasPrefix(answer, "COMPLETE") && !strings.HasPrefix(answer, "DATAROW") {
+				client.query("ROLLBACK")
+				break
+			}
+			time.Sleep(time.Duration(number%5) * 30 * time.Millisecond)
+		}
+	}
+}
+
+// record records an answer and reports whether the connection is still open.
+func (c *transactions) record(id, text, answer string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case answer == "connection lost":
+		if c.deployment.Groups[0].RunCount(id) > 0 {
+			c.lost = append(c.lost, id+" "+text)
+		}
+		return false
+	case text == "COMMIT" && strings.HasPrefix(answer, "COMPLETE i-"):
+		c.committed++
+	case strings.HasPrefix(answer, "ERROR INDOUBT"):
+		c.doubtful++
+	}
+	return true
+}
+
+// Guards against a planned stop that ends while instances work on statements of open
+// transactions, or that leaves the client of a commit in doubt: of transactions on this
+// host's own connections, on those that another host holds, and of another host on those that
+// this host holds.
+func TestStopAnswersStatementsOfTransactions(t *testing.T) {
+	for name, startDeployment := range map[string]func(*testing.T, int) *testDeployment{
+		"own connections": start, "forwarded": startForwarding,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := startDeployment(t, 2)
+			w.Groups[0].SetWork(workOnReads)
+			c := &transactions{deployment: w}
+			for number := range 3 {
+				for host := range w.hosts {
+					c.wait.Go(func() { c.run(host, number) })
+				}
+			}
+			time.Sleep(2 * longWork)
+			for n, stop := range w.stops {
+				stop()
+				is.NoErr(<-w.ended[n])
+				stopped := w.logs[n].line("host stopped")
+				is.True(strings.Contains(stopped, `"sessions":0,"commands":0`)) // nothing was cut off
+			}
+			c.wait.Wait()
+			is.Equal(c.lost, nil)
+			is.Equal(c.doubtful, 0)
+			is.True(c.committed > 0)
+		})
+	}
+}
--- a/internal/entry/transaction.go
+++ b/internal/entry/transaction.go
@@ -35,7 +35,7 @@
 	go func() {
 		defer close(t.opened)
 		s.host.contain(s, func() {
-			t.refusal = s.openTransaction(t.arrived.Add(t.route.Timeout))
+			t.refusal = s.openTransaction(s.host.limitDeadline(t.arrived.Add(t.route.Timeout)))
 		}, func() {
 			s.host.endPrimaryOperation(t)
 			t.refusal = &proxy.Failure{Code: proxy.Aborted, Text: "host failed while it began the transaction"}
@@ -72,7 +72,10 @@
 	if t.refusal != nil {
 		return s.abortTransaction(t.refusal)
 	}
-	return s.forward(st, arrived.Add(t.route.Timeout))
+	if s.host.refusesStatements() {
+		return s.abortTransaction(&proxy.Failure{Code: proxy.Aborted, Text: stopRefusal})
+	}
+	return s.forward(st, s.host.limitDeadline(arrived.Add(t.route.Timeout)))
 }
 
 // checkStillValid checks that the transaction's key is still valid and that its
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -189,13 +189,23 @@
 // heldConnection implements proxy.HeldConnection over a call.
 type heldConnection struct{ call *call }
 
-var errReleased = eris.New("connection is released")
+var (
+	errReleased = eris.New("connection is released")
+	errClosed   = eris.New("connection was closed")
+)
 
 // Execute implements proxy.HeldConnection.
 func (h *heldConnection) Execute(_ context.Context, e proxy.Execution) (proxy.Executed, bool) {
 	if h.call == nil {
 		return proxy.Executed{Unknown: errReleased.Error()}, true
 	}
+	select {
+	case <-h.call.conn.Closed():
+		// Nothing is sent, and the executing host rolls the transaction back.
+		h.Release()
+		return disconnected(errClosed), true
+	default:
+	}
 	result, held := h.call.run(e, false)
 	if !held {
 		h.call = nil
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,9 +29,14 @@
 	HoldTimeout time.Duration
 	Log         zerolog.Logger
 
-	codec *wire.Codec
+	codec  *wire.Codec
+	active atomic.Int64
 }
 
+// Active returns the number of calls of other hosts that are being served: from the receipt of
+// a command until its result is sent, or until its connection is released.
+func (s *Server) Active() int64 { return s.active.Load() }
+
 // Run serves connections of the listener until ctx ends.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
 	var err error
@@ -73,6 +79,8 @@
 	if err := stream.MsgRecv(&first, s.codec); err != nil {
 		return fmt.Errorf("receive command: %w", err)
 	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	if first.Execution == nil {
 		return eris.New("release without a held connection")
 	}
