Play planned stops and synchronous replicas in the soak

--stops limits the faults to stops in series and overlapping, reloads and changes, so that no promise about stops is waived because of another fault.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,8 @@
 	Hosts    int           `long:"hosts" default:"4" description:"number of entry hosts"`
 	Clients  int           `long:"callers" default:"12" description:"number of callers"`
 	Binary   string        `long:"binary" default:"bin/auburnyoke-entry" description:"program of an entry host"`
+	Stops    bool          `long:"stops" description:"planned stops, reloads and changes only, with long transactions"`
+	Sync     int           `long:"synchronous" description:"number of replicas that receive a commit before it is acknowledged"`
 	Verbose  bool          `long:"verbose" short:"v" description:"print the faults as they begin"`
 }
 
@@ -33,8 +35,8 @@
 }
 
 func run(o options) error {
-	if o.Hosts < 1 || o.Hosts > soak.MaxHosts || o.Clients < 1 || o.Duration <= 0 {
-		return eris.Errorf("want 1 to %d hosts, callers and a duration above 0", soak.MaxHosts)
+	if o.Hosts < 1 || o.Hosts > soak.MaxHosts || o.Clients < 1 || o.Duration <= 0 || o.Sync < 0 {
+		return eris.Errorf("want 1 to %d hosts, callers, a duration above 0 and no negative number of replicas", soak.MaxHosts)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -67,7 +69,7 @@
 	}
 	defer func() { _ = faultLog.Close() }()
 	report, err := soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: o.Duration, Hosts: o.Hosts, Clients: o.Clients, Binary: o.Binary, Directory: directory,
+		Seed: seed, Duration: o.Duration, Hosts: o.Hosts, Clients: o.Clients, Stops: o.Stops, Synchronous: o.Sync, Binary: o.Binary, Directory: directory,
 		OnEvent: func(line string) {
 			// A failed write is ignored: the list of faults only helps to analyze a failure.
 			_, _ = fmt.Fprintln(faultLog, line)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -230,8 +230,12 @@
 	var statements []Statement
 	wrote := 0
 	usable := true
-	for range 1 + c.random.IntN(4) {
-		time.Sleep(time.Duration(c.random.IntN(20)) * time.Millisecond)
+	maxStatements, maxPause := 4, 20
+	if c.soak.options.Stops {
+		maxStatements, maxPause = 11, 600
+	}
+	for range 1 + c.random.IntN(maxStatements) {
+		time.Sleep(time.Duration(c.random.IntN(maxPause)) * time.Millisecond)
 		s := c.newStatement([]string{"READ", "WRITE"}[c.random.IntN(2)])
 		if s.Verb == "READ" && wrote > 0 && c.random.IntN(2) == 0 {
 			s.Item = c.groupItem(c.item)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 )
 
 // meanFaultInterval is the mean time between the starts of two faults. Faults last
@@ -50,12 +54,37 @@
 	{"withdraw key", rotateKey},
 }
 
+// plannedFaults are the faults if Options.Stops is set.
+var plannedFaults = []fault{
+	{"stop", stopOne},
+	{"stop", stopOne},
+	{"stop in turn", stopInTurn},
+	{"stop two", stopTwo},
+	{"reload", reload},
+	{"change", changeConfiguration},
+	{"withdraw key", rotateKey},
+}
+
+// synchronousFaults are added if Options.Synchronous is not zero.
+var synchronousFaults = []fault{
+	{"deaf replica", deafenReplica},
+	{"drain replica", drainReplica},
+	{"primary and replica fail", failTogether},
+}
+
 // inject starts faults until ctx is done and returns once all of them have ended.
 func (s *Soak) inject(ctx context.Context, random *rand.Rand) {
+	kinds := faults
+	if s.options.Stops {
+		kinds = plannedFaults
+	}
+	if s.options.Synchronous > 0 {
+		kinds = slices.Concat(kinds, synchronousFaults, synchronousFaults)
+	}
 	var running sync.WaitGroup
 	for ctx.Err() == nil {
 		gap := time.Duration(random.ExpFloat64() * float64(meanFaultInterval))
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		// Each fault has its own random source: overlapping faults would draw from a
 		// shared one in an order that the seed does not determine.
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
@@ -119,6 +148,72 @@
 	return stopHost(s, s.randomHost(random))
 }
 
+// maxDeafness is the longest time for which a replica receives nothing.
+const maxDeafness = 6500 * time.Millisecond
+
+// randomReplica returns a random group and one of its replicas.
+func (s *Soak) randomReplica(random *rand.Rand) (*deployment.Group, string) {
+	g := s.deployment.Groups[random.IntN(len(s.deployment.Groups))]
+	primary := g.Primary()
+	replicas := slices.DeleteFunc(g.Instances(), func(id string) bool { return id == primary })
+	return g, replicas[random.IntN(len(replicas))]
+}
+
+func deafenReplica(ctx context.Context, s *Soak, random *rand.Rand) error {
+	defer s.faultHistory.begin(false, instancesComponent)()
+	g, id := s.randomReplica(random)
+	g.Deafen(id)
+	pause(ctx, randomDuration(random, time.Second, maxDeafness))
+	g.Hear(id)
+	return nil
+}
+
+// drainReplica makes a replica announce that it is about to leave, and later restarts it.
+func drainReplica(ctx context.Context, s *Soak, random *rand.Rand) error {
+	defer s.faultHistory.begin(false, instancesComponent)()
+	g, id := s.randomReplica(random)
+	g.Drain(id)
+	pause(ctx, randomDuration(random, time.Second, maxDrainTime))
+	g.Crash(id)
+	g.Restart(id)
+	return nil
+}
+
+// failTogether stops a primary and a replica for different times. Their entries may outlast
+// them.
+func failTogether(ctx context.Context, s *Soak, random *rand.Rand) error {
+	defer s.faultHistory.begin(false, instancesComponent)()
+	g, replica := s.randomReplica(random)
+	primary := g.Primary()
+	var back sync.WaitGroup
+	for _, id := range []string{primary, replica} {
+		down := randomDuration(random, 500*time.Millisecond, 7*time.Second)
+		lapse := random.IntN(2) == 0
+		g.Kill(id)
+		back.Go(func() {
+			pause(ctx, down/2)
+			if lapse {
+				g.Lapse(id)
+			}
+			pause(ctx, down/2)
+			g.Restart(id)
+		})
+	}
+	back.Wait()
+	return nil
+}
+
+// stopTwo stops two hosts, the second one while the first is stopping.
+func stopTwo(ctx context.Context, s *Soak, random *rand.Rand) error {
+	first, second := s.randomHost(random), s.randomHost(random)
+	gap := randomDuration(random, 0, gracePeriod)
+	ended := make(chan error, 1)
+	go func() { ended <- stopHost(s, first) }()
+	pause(ctx, gap)
+	err := stopHost(s, second)
+	return errors.Join(err, <-ended)
+}
+
 func stopInTurn(ctx context.Context, s *Soak, random *rand.Rand) error {
 	gap := randomDuration(random, 100*time.Millisecond, time.Second)
 	for _, h := range s.hosts {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -61,6 +61,10 @@
 // Ledger records what clients and instances observe, and finds violations of the
 // system's guarantees. It is safe for concurrent use.
 type Ledger struct {
+	// Synchronous reports that replicas receive each commit before it is acknowledged. It is
+	// set before use.
+	Synchronous bool
+
 	mu            sync.Mutex
 	statements    []Statement
 	runsByRequest map[string][]deployment.Run
@@ -176,9 +180,23 @@
 	l.checkKeys(add)
 	l.checkRates(add)
 	l.checkLeaving(add)
+	l.checkDiscarded(add)
 	return found
 }
 
+// checkDiscarded finds acknowledged writes that a promotion has rolled back, although replicas
+// had to receive them before.
+func (l *Ledger) checkDiscarded(add reportFunc) {
+	if !l.Synchronous {
+		return
+	}
+	for _, s := range l.statements {
+		if s.Verb == "WRITE" && s.Outcome == Succeeded && l.discarded[s.Item][s.Value] {
+			add("LOST", "%s, which had written %d to %s, was acknowledged and rolled back", s.Request, s.Value, s.Item)
+		}
+	}
+}
+
 // reportFunc adds a violation of a guarantee.
 type reportFunc func(guarantee, format string, values ...any)
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -157,3 +157,19 @@
 		})
 	}
 }
+
+// Guards against a check that does not notice an acknowledged write which a promotion has
+// rolled back, and against one that reports it where replicas need not receive commits.
+func TestLedgerFindsLostWrites(t *testing.T) {
+	for _, synchronous := range []bool{false, true} {
+		is := is.New(t)
+		l := soak.NewLedger()
+		l.Synchronous = synchronous
+		statement, run := write("w1", "a", 1, 0)
+		l.Record(statement, run)
+		is.Equal(len(l.Check()), 0)
+		l.Discarded("a", "1")
+		found := l.Check()
+		is.Equal(len(found) == 1 && strings.HasPrefix(found[0], "LOST: w1"), synchronous)
+	}
+}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -77,6 +77,11 @@
 	accounts := []deployment.Account{
 		{Name: "clerks", Keys: append([]string{probeKey}, o.keys...), Rate: 5000, Burst: 5000}, limitedAccount,
 	}
+	if o.soak.sharesConnections() {
+		for n := range otherAccounts {
+			accounts = append(accounts, deployment.Account{Name: fmt.Sprintf("other-%d", n), Rate: 10, Burst: 10})
+		}
+	}
 	for _, account := range accounts {
 		o.soak.ledger.RecordLimits(account)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,14 @@
 // users' services.
 const (
 	replicaLag     = 60 * time.Millisecond
+	promotionDelay = 300 * time.Millisecond
 	maxConnections = 16
+	// ampleConnections suffices for transactions with pauses of all clients.
+	ampleConnections = 400
+	// sharedConnections is so small a limit for otherAccounts accounts that one host holds
+	// the connections to an instance, and runs the statements of the others there.
+	sharedConnections = 100
+	otherAccounts     = 60
 )
 
 var (
@@ -34,6 +42,14 @@
 	Duration time.Duration
 	Hosts    int
 	Clients  int
+	// Stops limits the faults to planned stops, reloads and changes of the configuration, and
+	// gives clients transactions with pauses and statements that take time. With an odd
+	// seed, hosts run statements for one another. No promise about stops is waived because
+	// of another fault.
+	Stops bool
+	// Synchronous is the number of replicas that receive a commit before it is acknowledged.
+	// If it is not zero, replicas also become deaf and fail together with the primary.
+	Synchronous int
 	// Binary is the path of the entry host's program. Settings and logs are written to
 	// Directory.
 	Binary, Directory string
@@ -119,12 +135,21 @@
 		}
 	}
 	onStop := func(f func()) { stops = append(stops, f) }
-	d, stopDeployment, err := deployment.Start(groups, zones, replicaLag, maxConnections)
+	d, stopDeployment, err := deployment.Start(groups, zones, replicaLag, s.connections())
 	if err != nil {
 		return stop, fmt.Errorf("emulated deployment: %w", err)
 	}
 	onStop(stopDeployment)
 	s.deployment = d
+	s.ledger.Synchronous = s.options.Synchronous > 0
+	for _, g := range d.Groups {
+		if s.options.Stops {
+			g.SetWork(work)
+		}
+		if g.Synchronous = s.options.Synchronous; g.Synchronous > 0 {
+			g.PromotionDelay = promotionDelay
+		}
+	}
 	d.Observe(s.ledger)
 	if err := s.startInstanceRelays(onStop); err != nil {
 		return stop, fmt.Errorf("relay of an instance: %w", err)
@@ -143,6 +168,48 @@
 	return stop, nil
 }
 
+// sharesConnections reports whether hosts run statements for one another.
+func (s *Soak) sharesConnections() bool { return s.options.Stops && s.options.Seed%2 == 1 }
+
+// connections returns the number of connections that an instance accepts.
+func (s *Soak) connections() int {
+	switch {
+	case s.sharesConnections():
+		return sharedConnections
+	case s.options.Stops:
+		return ampleConnections
+	default:
+		return maxConnections
+	}
+}
+
+// Times that instances work on statements if Options.Stops is set. All clients together leave
+// the two slots of an instance time to spare.
+const (
+	maxWork     = 10 * time.Millisecond
+	maxLongWork = 600 * time.Millisecond
+	// longWorkShare is the number of statements of which one takes up to maxLongWork.
+	longWorkShare = 64
+)
+
+// work returns how long an instance works on a statement.
+func work(text string) time.Duration {
+	word, rest, _ := strings.Cut(text, " ")
+	if word == "WAITLSN" {
+		_, rest, _ = strings.Cut(rest, " ")
+		word, _, _ = strings.Cut(rest, " ")
+	}
+	switch word {
+	case "READ", "WRITE", "EXECUTE", "COMMIT":
+	default:
+		return 0
+	}
+	if rand.IntN(longWorkShare) == 0 {
+		return rand.N(maxLongWork)
+	}
+	return rand.N(maxWork)
+}
+
 // startInstanceRelays starts a relay in front of each instance.
 func (s *Soak) startInstanceRelays(onStop func(func())) error {
 	for _, g := range s.deployment.Groups {
