Let a restarted host complete failovers of synchronous groups after 5 s

All hosts had been killed while a primary was down whose entry had lapsed. The restarted coordinator had the statuses of both replicas ("missing":[], "partial":true in its log) but waited until it had followed the instances for 10 s, and its attempt ended meanwhile.

An instance that left before the host started is away for 7 s at most on the users' sheets, and its entry lapses after three heartbeats of 1.2 s, so that 5 s are enough. Services with sync_replicas 0 are not concerned.

--- a/pkg/proxy/failover/election.go
+++ b/pkg/proxy/failover/election.go
@@ -13,9 +13,10 @@
 	// GoneTimeout is how long after it has left the store an instance may still return
 	// with commits that no other instance has.
 	GoneTimeout = time.Minute
-	// HistoryTime is how long a host must have followed the instances until it knows those
-	// that may return.
-	HistoryTime = 10 * time.Second
+	// HistoryTime is how long a host must have followed the instances until those have
+	// returned that had left the store before. An instance that crashed leaves it after three
+	// heartbeats and is away for 7 s on the users' sheets.
+	HistoryTime = 5 * time.Second
 	// stayingTimeout is how long, after the old primary has stepped down, a successor that
 	// is leaving is passed over for one that stays and has not caught up yet.
 	stayingTimeout = 300 * time.Millisecond
