--- a/internal/entry/integration_test.go
+++ b/internal/entry/integration_test.go
@@ -72,17 +72,17 @@
 func startForwarding(t *testing.T, hosts int) *testDeployment {
 	t.Helper()
 	w := startWith(t, hosts, 2*hosts, func(*deployment.Group) {})
-	is.New(t).True(w.forwarded() > 0)
+	served := int64(0)
+	for n := range w.hosts {
+		served += w.served(n)
+	}
+	is.New(t).True(served > 0)
 	return w
 }
 
-// forwarded returns the number of commands that hosts have run for others.
-func (w *testDeployment) forwarded() int64 {
-	served := int64(0)
-	for _, m := range w.metrics {
-		served += m.Registry.Get("commands.served").(metrics.Counter).Count()
-	}
-	return served
+// served returns the number of commands that a host has run for others.
+func (w *testDeployment) served(host int) int64 {
+	return w.metrics[host].Registry.Get("commands.served").(metrics.Counter).Count()
 }
 
 // startWith starts a deployment whose instances accept a number of connections, and calls
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -262,7 +262,7 @@
 				client.query("ROLLBACK")
 				break
 			}
-			time.Sleep(time.Duration(number%5) * 30 * time.Millisecond)
+			time.Sleep(time.Duration(number) * 60 * time.Millisecond)
 		}
 	}
 }
@@ -290,23 +290,33 @@
 // host's own connections, on those that another host holds, and of another host on those that
 // this host holds.
 func TestStopAnswersStatementsOfTransactions(t *testing.T) {
-	for name, startDeployment := range map[string]func(*testing.T, int) *testDeployment{
-		"own connections": start, "forwarded": startForwarding,
+	for name, test := range map[string]struct {
+		start func(*testing.T, int) *testDeployment
+		// stopsHolder reports that the host stops first that runs commands for the other.
+		stopsHolder bool
+	}{
+		"own connections":              {start, false},
+		"connections of another host":  {startForwarding, false},
+		"connections for another host": {startForwarding, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			w := startDeployment(t, 2)
+			w := test.start(t, 2)
 			w.Groups[0].SetWork(workOnReads)
 			c := &transactions{deployment: w}
-			for number := range 3 {
+			for number := range 5 {
 				for host := range w.hosts {
 					c.wait.Go(func() { c.run(host, number) })
 				}
 			}
 			time.Sleep(2 * longWork)
-			for n, stop := range w.stops {
-				stop()
+			first := 0
+			if holdsMore := w.served(0) > w.served(1); holdsMore != test.stopsHolder {
+				first = 1
+			}
+			for _, n := range []int{first, 1 - first} {
+				w.stops[n]()
 				is.NoErr(<-w.ended[n])
 				stopped := w.logs[n].line("host stopped")
 				is.True(strings.Contains(stopped, `"sessions":0,"commands":0`)) // nothing was cut off
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -69,7 +69,8 @@
 var synchronousFaults = []fault{
 	{"deaf replica", deafenReplica},
 	{"drain replica", drainReplica},
-	{"primary and replica fail", failTogether},
+	{"instances fail together", failTogether},
+	{"instances fail together", failTogether},
 }
 
 // inject starts faults until ctx is done and returns once all of them have ended.
@@ -179,18 +180,29 @@
 	return nil
 }
 
-// failTogether stops a primary and a replica for different times. Their entries may outlast
-// them.
+// failTogether makes one replica deaf, and stops the primary some time later. The other
+// replica, which has acknowledged the commits since then, is stopped too, drains or goes on.
+// The entries of stopped instances may outlast them.
 func failTogether(ctx context.Context, s *Soak, random *rand.Rand) error {
 	defer s.faultHistory.begin(false, instancesComponent)()
-	g, replica := s.randomReplica(random)
+	g, far := s.randomReplica(random)
 	primary := g.Primary()
+	near := slices.DeleteFunc(g.Instances(), func(id string) bool { return id == primary || id == far })[0]
+	g.Deafen(far)
+	pause(ctx, randomDuration(random, 300*time.Millisecond, 2*time.Second))
+	failing := []string{primary}
+	switch random.IntN(3) {
+	case 0:
+		failing = append(failing, near)
+	case 1:
+		g.Drain(near)
+	}
 	var back sync.WaitGroup
-	for _, id := range []string{primary, replica} {
-		down := randomDuration(random, 500*time.Millisecond, 7*time.Second)
+	for _, id := range failing {
+		down := randomDuration(random, time.Second, 7*time.Second)
 		lapse := random.IntN(2) == 0
-		g.Kill(id)
 		back.Go(func() {
+			g.Kill(id)
 			pause(ctx, down/2)
 			if lapse {
 				g.Lapse(id)
@@ -200,6 +212,7 @@
 		})
 	}
 	back.Wait()
+	g.Hear(far)
 	return nil
 }
 
