--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,7 +38,8 @@
 	if o.Hosts < 1 || o.Hosts > soak.MaxHosts || o.Clients < 1 || o.Duration <= 0 || o.Sync < 0 {
 		return eris.Errorf("want 1 to %d hosts, callers, a duration above 0 and no negative number of replicas", soak.MaxHosts)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// A closed output would otherwise end the process without ending the hosts.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGPIPE)
 	defer stop()
 	failed := 0
 	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
