--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -136,6 +136,7 @@
 func (h *Host) serveSession(s *session, conn net.Conn) {
 	client := h.Client(conn)
 	database, key, err := client.Startup()
+	// A stopping host waits for the session until it is listed as open.
 	h.opening.Add(1)
 	opened := sync.OnceFunc(func() { h.opening.Add(-1) })
 	defer opened()
--- a/internal/entry/synchronous_test.go
+++ b/internal/entry/synchronous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,11 +17,12 @@
 const promotionDelay = 300 * time.Millisecond
 
 // startSynchronous starts a deployment whose commits are acknowledged when one replica has
-// received them, with a client on each host that writes all the while.
-func startSynchronous(t *testing.T, hosts int) (*testDeployment, *writers) {
+// received them, with a client on each host that writes all the while. Since some commits only
+// near has received them.
+func startSynchronous(t *testing.T) *writers {
 	t.Helper()
-	const perHost = 8
-	w := startWith(t, hosts, perHost, func(g *deployment.Group) {
+	const hosts, connections = 2, 8
+	w := startWith(t, hosts, connections, func(g *deployment.Group) {
 		g.Synchronous, g.PromotionDelay = 1, promotionDelay
 	})
 	c := &writers{deployment: w, acknowledged: make(map[string]bool), stop: make(chan struct{})}
@@ -28,12 +30,22 @@
 		c.wait.Go(func() { c.write(n) })
 	}
 	t.Cleanup(c.end)
-	return w, c
+	c.group, c.primary = w.Groups[0], w.Groups[0].Primary()
+	replicas := slices.DeleteFunc(c.group.Instances(), func(id string) bool { return id == c.primary })
+	c.near, c.far = replicas[0], replicas[1]
+	c.awaitMore()
+	c.group.Deafen(c.far)
+	c.awaitMore()
+	return c
 }
 
 // writers are clients that write all the while and record what was acknowledged.
 type writers struct {
-	deployment   *testDeployment
+	deployment *testDeployment
+	group      *deployment.Group
+	// primary leads the group at first. far is a replica that receives nothing.
+	primary, near, far string
+
 	mu           sync.Mutex
 	acknowledged map[string]bool
 	stop         chan struct{}
@@ -97,10 +109,9 @@
 func (c *writers) checkNothingLost() {
 	c.deployment.t.Helper()
 	c.end()
-	g := c.deployment.Groups[0]
-	primary, lost := g.Primary(), 0
+	primary, lost := c.group.Primary(), 0
 	for id := range c.acknowledged {
-		if !g.Holds(primary, id) {
+		if !c.group.Holds(primary, id) {
 			lost++
 		}
 	}
@@ -109,47 +120,29 @@
 	}
 }
 
-// replicas returns the replicas of the first group.
-func (w *testDeployment) replicas() []string {
-	var ids []string
-	for _, id := range w.Groups[0].Instances() {
-		if id != w.Groups[0].Primary() {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// awaitPrimary waits until an instance leads the first group for which accept is true.
-func (w *testDeployment) awaitPrimary(accept func(id string) bool) {
-	w.t.Helper()
-	for end := time.Now().Add(waitTimeout); ; time.Sleep(time.Millisecond) {
-		id := w.Groups[0].Primary()
-		if id != "" && accept(id) {
-			return
-		}
+// checkSuccessor waits for another primary, lets the far replica receive again, and checks that
+// nothing was lost.
+func (c *writers) checkSuccessor() {
+	c.deployment.t.Helper()
+	for end := time.Now().Add(waitTimeout); c.group.Primary() == "" || c.group.Primary() == c.primary; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			w.t.Fatalf("primary is %q", id)
+			c.deployment.t.Fatalf("primary is %q", c.group.Primary())
 		}
 	}
+	c.group.Hear(c.far)
+	c.awaitMore()
+	c.checkNothingLost()
 }
 
 // Guards against the loss of commits that only a replica holds which is about to leave: it
 // was passed over for a shorter log.
 func TestDrainingReplicaWithTheCommitsIsPromoted(t *testing.T) {
 	t.Parallel()
-	w, c := startSynchronous(t, 2)
-	g := w.Groups[0]
-	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
-	c.awaitMore()
-	g.Drain(near)
-	g.Deafen(far)
-	c.awaitMore()
-	g.Kill(primary)
-	w.awaitPrimary(func(id string) bool { return id != primary })
-	g.Hear(far)
+	c := startSynchronous(t)
+	c.group.Drain(c.near)
 	c.awaitMore()
-	c.checkNothingLost()
+	c.group.Kill(c.primary)
+	c.checkSuccessor()
 }
 
 // outage is how long instances stay away. Without the wait for them, another one is promoted
@@ -178,19 +171,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w, c := startSynchronous(t, 2)
-			g := w.Groups[0]
-			primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
-			g.Deafen(far)
-			c.awaitMore()
-			g.Kill(primary)
-			test.leave(g, near)
+			c := startSynchronous(t)
+			c.group.Kill(c.primary)
+			test.leave(c.group, c.near)
 			time.Sleep(outage)
-			test.back(g, near)
-			w.awaitPrimary(func(id string) bool { return id != primary })
-			g.Hear(far)
-			c.awaitMore()
-			c.checkNothingLost()
+			test.back(c.group, c.near)
+			c.checkSuccessor()
 		})
 	}
 }
@@ -200,20 +186,16 @@
 func TestReturningPrimaryGoesOn(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	w, c := startSynchronous(t, 2)
-	g := w.Groups[0]
-	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
-	g.Deafen(far)
-	c.awaitMore()
-	g.Kill(primary)
-	g.Kill(near)
-	w.awaitLeadership("replacing")
+	c := startSynchronous(t)
+	c.group.Kill(c.primary)
+	c.group.Kill(c.near)
+	c.deployment.awaitLeadership("replacing")
 	time.Sleep(outage)
-	g.Restart(primary)
-	g.Hear(far)
+	c.group.Restart(c.primary)
+	c.group.Hear(c.far)
 	c.awaitMore()
-	is.Equal(w.Promotions.Load(), int64(0))
-	is.Equal(g.Primary(), primary)
+	is.Equal(c.deployment.Promotions.Load(), int64(0))
+	is.Equal(c.group.Primary(), c.primary)
 	c.checkNothingLost()
 }
 
@@ -221,47 +203,33 @@
 // successor has failed.
 func TestSuccessorThatFails(t *testing.T) {
 	t.Parallel()
-	w, c := startSynchronous(t, 2)
-	g := w.Groups[0]
-	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
-	g.Deafen(far)
-	c.awaitMore()
-	g.Kill(primary)
-	for w.Promotions.Load() == 0 {
+	c := startSynchronous(t)
+	c.group.Kill(c.primary)
+	for c.deployment.Promotions.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	g.Kill(near) // before it leads
+	c.group.Kill(c.near) // before it leads
 	time.Sleep(2 * outage)
-	g.Restart(near)
-	w.awaitPrimary(func(id string) bool { return id != primary })
-	g.Hear(far)
-	c.awaitMore()
-	c.checkNothingLost()
+	c.group.Restart(c.near)
+	c.checkSuccessor()
 }
 
 // Guards against a planned change to an instance without all commits: the old primary is
 // busy when it is asked to step down, and the only replica with the commits is down.
 func TestPlannedChangeKeepsTheCommits(t *testing.T) {
 	t.Parallel()
-	w, c := startSynchronous(t, 2)
-	g := w.Groups[0]
-	primary, near, far := g.Primary(), w.replicas()[0], w.replicas()[1]
-	g.Deafen(far)
-	c.awaitMore()
+	c := startSynchronous(t)
 	busy := 10
-	g.SetFault(func(instance, text string) string {
-		if instance == primary && text == "STATUS" && busy > 0 {
+	c.group.SetFault(func(instance, text string) string {
+		if instance == c.primary && text == "STATUS" && busy > 0 {
 			busy--
 			return "BUSY"
 		}
 		return ""
 	})
-	g.Kill(near)
-	g.Drain(primary)
+	c.group.Kill(c.near)
+	c.group.Drain(c.primary)
 	time.Sleep(outage)
-	g.Restart(near)
-	w.awaitPrimary(func(id string) bool { return id != primary })
-	g.Hear(far)
-	c.awaitMore()
-	c.checkNothingLost()
+	c.group.Restart(c.near)
+	c.checkSuccessor()
 }
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -278,8 +278,9 @@
 	}
 }
 
-// expireInstances removes instances whose entries have been missing for
-// absenceTimeout, forgets those that have been missing for failover.GoneTimeout, and retires leaving instances whose drain time ends.
+// expireInstances removes instances whose entries have been missing for absenceTimeout,
+// forgets those that have been missing for failover.GoneTimeout, and retires leaving
+// instances whose drain time ends.
 func (h *Host) expireInstances(now proxy.Instant) {
 	cs := h.clusterState
 	cs.mu.Lock()
--- a/pkg/proxy/failover/election.go
+++ b/pkg/proxy/failover/election.go
@@ -146,8 +146,10 @@
 	}
 }
 
-func order(first bool) int {
-	if first {
+// order returns the result of a comparison of which the first value is the better one, or
+// else the second.
+func order(firstIsBetter bool) int {
+	if firstIsBetter {
 		return -1
 	}
 	return 1
