--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,7 +39,8 @@
 		return eris.Errorf("want 1 to %d hosts, callers, a duration above 0 and no negative number of replicas", soak.MaxHosts)
 	}
 	// A closed output would otherwise end the process without ending the hosts.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	failed := 0
 	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
@@ -51,6 +52,9 @@
 			failed++
 		}
 	}
+	if ctx.Err() != nil {
+		return eris.New("ended by a signal")
+	}
 	if failed > 0 {
 		return eris.Errorf("%d of %d seeds broke a promise", failed, o.Seeds)
 	}
