--- a/review/harness-2/installation.go
+++ b/review/harness-2/installation.go
@@ -40,6 +40,8 @@
 	commands   io.WriteCloser
 	hosts      []*host
 	processes  []*exec.Cmd
+	// promotions is the address of the API for promotions.
+	promotions string
 }
 
 type host struct {
@@ -89,10 +91,13 @@
 	// prepare is called with the store's address before the hosts are started.
 	prepare func(store string) error
 	// storeSent and cloudSent see what a host sends to the store and to the API for
-	// promotions, cloudDelivered what arrives there, cloudAnswered its answers. The
-	// function storeAnswered returns what a host receives of an answer of the store.
-	storeSent, cloudSent, cloudDelivered, cloudAnswered func(h *host, data []byte)
-	storeAnswered                                       func(h *host, data []byte) []byte
+	// promotions. The function storeAnswered returns what a host receives of an answer of
+	// the store.
+	storeSent, cloudSent func(h *host, data []byte)
+	storeAnswered        func(h *host, data []byte) []byte
+	// promoteCalled sees a call that the API has received, promoteAnswered its status.
+	promoteCalled   func(promoteCall)
+	promoteAnswered func(promoteCall, int)
 }
 
 // of returns a hook for the links of a host.
@@ -161,11 +166,12 @@
 	if h.store, err = newLink(store, hooks); err != nil {
 		return err
 	}
-	hooks = linkHooks{sent: of(h, o.cloudSent), delivered: of(h, o.cloudDelivered)}
-	if o.cloudAnswered != nil {
-		hooks.answered = func(data []byte) []byte { o.cloudAnswered(h, data); return data }
+	if in.promotions == "" {
+		if in.promotions, err = servePromotions(cloud, o.promoteCalled, o.promoteAnswered); err != nil {
+			return err
+		}
 	}
-	if h.cloud, err = newLink(cloud, hooks); err != nil {
+	if h.cloud, err = newLink(in.promotions, linkHooks{sent: of(h, o.cloudSent)}); err != nil {
 		return err
 	}
 	text = strings.Replace(text, `address = "`+store, `address = "`+h.store.address(), 1)
--- a/review/harness-2/link.go
+++ b/review/harness-2/link.go
@@ -25,8 +25,8 @@
 // linkHooks see what passes a link; each may be nil.
 type linkHooks struct {
 	// sent sees the bytes that a host sends before they are passed on or held up. It may
-	// cut links. Delivered sees them when they arrive at the service.
-	sent, delivered func(data []byte)
+	// cut links.
+	sent func(data []byte)
 	// answered sees the bytes of the service and returns what arrives at the host.
 	answered func(data []byte) []byte
 }
@@ -95,7 +95,7 @@
 		l.pass(conn, upstream, linkHooks{answered: l.hooks.answered})
 		_ = conn.Close()
 	}()
-	l.pass(upstream, conn, linkHooks{sent: l.hooks.sent, delivered: l.hooks.delivered})
+	l.pass(upstream, conn, linkHooks{sent: l.hooks.sent})
 	// The other direction stays open for the answer.
 	select {
 	case <-answered:
@@ -140,9 +140,6 @@
 		default:
 		}
 		if len(c.data) > 0 {
-			if hooks.delivered != nil {
-				hooks.delivered(c.data)
-			}
 			if hooks.answered != nil {
 				c.data = hooks.answered(c.data)
 			}
--- a/review/harness-2/restarted_host.go
+++ b/review/harness-2/restarted_host.go
@@ -47,13 +47,8 @@
 		r.printf("%s writes the record of the replacement; from now on the store turns %s away (silent)",
 			h.name, in.hosts[relay].name)
 	}
-	o.cloudDelivered = func(h *host, data []byte) {
-		call, ok := parsePromotion(data)
-		if !ok {
-			return
-		}
-		r.printf("the platform receives from %s: POST /promote service %s, id %s, Fencing-Token %d",
-			h.name, call.service, call.instance, call.token)
+	o.promoteCalled = func(call promoteCall) {
+		r.printf("the platform receives %s", call)
 		mu.Lock()
 		defer mu.Unlock()
 		if killed {
@@ -70,12 +65,12 @@
 			}
 		})
 	}
-	o.cloudAnswered = func(_ *host, data []byte) {
+	o.promoteAnswered = func(call promoteCall, status int) {
 		mu.Lock()
 		defer mu.Unlock()
-		if bytes.HasPrefix(data, []byte("HTTP/1.1 200 ")) && promotedAt.IsZero() {
-			promotedAt = time.Now()
-			r.printf("the platform answers 200: the promote has taken effect")
+		r.printf("the platform answers %d to %s", status, call)
+		if status == http.StatusOK && promotedAt.IsZero() {
+			promotedAt = time.Now() // the emulated deployment promotes at once
 		}
 	}
 	// The hosts of the other zone reach the primary over a link of their own. Both addresses
