--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -316,6 +316,8 @@
 		since := a.host.Clock.Now().Sub(a.acknowledgedAt)
 		if failover.Retired(since, allConfirmed) &&
 			(!a.takenOver || since > failover.TakeoverPromotionDelay) {
+			a.host.Log.Info().Str("group", string(a.group)).Uint64("version", uint64(a.version)).
+				Bool("confirmed", allConfirmed).Dur("after", since).Msg("replacement may promote")
 			return nil
 		}
 		if !timing.Sleep(ctx, pollInterval) {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -160,6 +160,9 @@
 // first to this host's state, then to the mirror, which serves the host's own
 // followers.
 func (f *follower) apply(confirmedAt proxy.Instant, listing proxy.Listing, snapshot bool, hops int) {
+	if f.version == 0 {
+		f.logFirstState(confirmedAt, listing, hops)
+	}
 	for _, u := range listing.Unreadable {
 		f.host.rejected.add(f.kind, u.Name, 0, u.Reason)
 	}
@@ -174,6 +177,18 @@
 	f.version, f.confirmedAt = listing.Version, confirmedAt
 }
 
+// logFirstState logs where the first state of the kind comes from, its age and that of the
+// process.
+func (f *follower) logFirstState(confirmedAt proxy.Instant, listing proxy.Listing, hops int) {
+	now := f.host.Clock.Now()
+	line := f.host.Log.Info().Str("kind", string(f.kind)).Uint64("version", uint64(listing.Version)).
+		Dur("age", now.Sub(confirmedAt)).Dur("running", now.Sub(f.host.startedAt))
+	if hops > 0 {
+		line.Str("relay", string(f.relay))
+	}
+	line.Msg("first state received")
+}
+
 // readRelay makes one request to a relay. It returns false if the relay does not
 // answer or its confirmation is too old, so that another source has to be used.
 func (f *follower) readRelay(ctx context.Context, relay peering.Peer) bool {
