entry: Use no leadership record from before a restart

What callers saw.

A confirmed replacement is a promise of the host: the coordinator stops waiting for it and its lease. The process that followed did not keep it. It took leadership records from its relay that were confirmed before it started, and a lease from them, as listedFrom was zero for a host whose entry was there before. Evidence: in the traced run the records were 2,909 ms old when the process had run for 1.5 ms, and the coordinator went on after 41 ms with confirmed=true.

Why this works. What the process before had confirmed was written to the store before that process ended. A read of the store that begins after the process has started returns it or something later, so only such a read gives a lease (leaseFrom). The check compares instants of one clock; the age that a relay reports is stretched by the 1% that clocks may differ. A relay has such a confirmation only after its next watch, so a restarted host lists the records itself, one call for each restart.

The store returned no old record; the coordinator had not waited for leases. Updating relays' mirrors by announcements would pass the case, but a relay may hear of a replacement after the restart.

--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -92,10 +92,10 @@
 	// routesChanged is closed and replaced when instances or primaries change.
 	routesChanged chan struct{}
 	// registeredAt is when the host had confirmed that its own entry is in the store.
-	// listedFrom is from when every listing of the hosts contains it; zero for an entry
-	// that was there before the process. countedFrom is when all other hosts take the entry
-	// into account. All are zero while the host is not registered.
-	registeredAt, listedFrom, countedFrom proxy.Instant
+	// leaseFrom is from when a confirmation of the leadership records lets the host use
+	// primaries. countedFrom is when all other hosts take the entry into account. All are
+	// zero while the host is not registered.
+	registeredAt, leaseFrom, countedFrom proxy.Instant
 	// votes are the results of polls on the primaries that this host suspects.
 	votes map[proxy.InstanceID]vote
 	// attempts are the failovers that this host coordinates. No new one begins before
@@ -139,9 +139,9 @@
 	if l == nil || l.record.Phase != failover.Settled || now >= s.leadershipConfirmedAt.Add(failover.Lease) {
 		return "", 0, false
 	}
-	if s.registeredAt == 0 || s.leadershipConfirmedAt < s.listedFrom {
-		// A coordinator that listed the hosts before this host was registered does not
-		// wait for this host to accept the failover.
+	if s.registeredAt == 0 || s.leadershipConfirmedAt < s.leaseFrom {
+		// A coordinator does not wait for a host that it has not listed, nor for one whose
+		// previous process has accepted the failover. Records from before may be replaced.
 		return "", 0, false
 	}
 	return l.record.Primary, l.version, true
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -50,8 +50,8 @@
 	confirmedAt proxy.Instant
 	// relist reports that the last call failed, so that the next call is a listing.
 	relist bool
-	// listNext reports that the next call is a listing of the store, since a relay has
-	// failed to provide the first state.
+	// listNext reports that the next call is a listing of the store, since a relay cannot
+	// provide the state that a restarted host needs.
 	listNext bool
 	// crossZoneUntil is when the fallback to relays in other zones ends; it is set
 	// when the store does not answer this host.
@@ -74,12 +74,14 @@
 // run follows a relay or the store until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	pause := retryDelay
+	f.listNext = f.awaitsLease()
 	for ctx.Err() == nil {
 		if relay, ok := f.selectRelay(); ok {
 			if f.readRelay(ctx, relay) {
+				f.listNext = f.awaitsLease()
 				continue
 			}
-			if f.listNext = f.hurries(); !f.listNext && !timing.Sleep(ctx, relayRetryDelay) {
+			if f.listNext = f.hurries() || f.awaitsLease(); !f.listNext && !timing.Sleep(ctx, relayRetryDelay) {
 				return
 			}
 			continue
@@ -116,6 +118,18 @@
 // is new serves only after joinWait and can wait for its relay.
 func (f *follower) hurries() bool { return f.version == 0 && f.host.restarted.Load() }
 
+// awaitsLease reports whether the host has restarted and not yet received leadership records
+// that let it use primaries. A relay has them only after its next watch.
+func (f *follower) awaitsLease() bool {
+	if f.kind != leadershipKind || !f.host.restarted.Load() {
+		return false
+	}
+	cs := f.host.clusterState
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return f.confirmedAt < cs.leaseFrom
+}
+
 // selectRelay returns the relay to follow. It returns false if the host has to read from
 // the store.
 func (f *follower) selectRelay() (peering.Peer, bool) {
@@ -137,7 +151,7 @@
 func (f *follower) readStore(ctx context.Context) error {
 	sent := f.host.Clock.Now()
 	f.host.Metrics.storeReads.Inc(1)
-	if f.version == 0 || f.relist || sent.Sub(f.confirmedAt) > f.watchWait+maxResumeAge {
+	if f.version == 0 || f.relist || f.listNext || sent.Sub(f.confirmedAt) > f.watchWait+maxResumeAge {
 		listing, err := f.host.Store.List(ctx, f.kind)
 		if err != nil {
 			return fmt.Errorf("list: %w", err)
@@ -209,7 +223,8 @@
 		}
 		return false
 	}
-	confirmedAt := sent.Add(min(response.ConfirmationOffset, 0))
+	// The relay's clock may run 1% slower.
+	confirmedAt := sent.Add(min(response.ConfirmationOffset, 0) * 101 / 100)
 	if age := f.host.Clock.Now().Sub(confirmedAt); age > f.maxConfirmationAge {
 		f.host.excludeRelay(relay.Host, eris.Errorf("confirmation of %s is %v old", f.kind, age))
 		return false
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -140,9 +140,10 @@
 	// The other hosts already count a host whose entry was kept.
 	h.clusterState.countedFrom = h.clusterState.registeredAt
 	h.restarted.Store(err != nil && first)
-	h.clusterState.listedFrom = h.clusterState.registeredAt
+	h.clusterState.leaseFrom = h.clusterState.registeredAt
 	if err != nil && first {
-		h.clusterState.listedFrom = 0
+		// Every listing since the start of the process contains the entry.
+		h.clusterState.leaseFrom = h.startedAt
 	}
 	if err == nil {
 		h.clusterState.countedFrom = h.clusterState.registeredAt.Add(joinWait)
@@ -225,7 +226,7 @@
 	h.Log.Warn().Msg("entry of this host was removed or overwritten")
 	cs := h.clusterState
 	cs.mu.Lock()
-	cs.registeredAt, cs.listedFrom, cs.countedFrom = 0, 0, 0
+	cs.registeredAt, cs.leaseFrom, cs.countedFrom = 0, 0, 0
 	cs.mu.Unlock()
 	h.updateAllowances()
 	ctx, cancel := context.WithTimeout(context.Background(), joinWait)
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -5,8 +5,10 @@
 // that the record names for the time Lease after it has read the record. A failover
 // first changes the record, which makes hosts stop using the old primary. It requests
 // the promotion of a successor only when every host has confirmed that, or when the
-// leases of all hosts have expired. Therefore no host acknowledges a write or answers
-// a strict read on the old primary after a commit on the new one.
+// leases of all hosts have expired. A confirmation binds the host beyond the process that
+// sent it: a process uses a primary only after a read of the record that began after the
+// process did. Therefore no host acknowledges a write or answers a strict read on the old
+// primary after a commit on the new one.
 package failover
 
 import (
