entry: Keep instances retired while they leave

What callers saw.

Each change of an instance's entry made a new value without retired, until the next tick. A promotion changes the entry, and the same update wakes the requests that wait for a primary. An entry that was missing for 2.5 s and came back lost leavingSince as well.

Why this works. Both are taken over while the entry says that the instance leaves, also from the departed instances, which are kept for a minute.

--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -69,19 +69,13 @@
 			is := is.New(t)
 			w := start(t, 1)
 			var listings atomic.Int64
-			forward := forwardTo(w.StoreAddress)
-			store := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-				if r.Method == http.MethodGet && r.URL.Path == "/-/objects/groups" {
-					listings.Add(1)
-					if refused {
-						rw.WriteHeader(http.StatusServiceUnavailable)
-						return
-					}
+			w.store = startRefusingStore(t, w.StoreAddress, func(r *http.Request, _ string) bool {
+				if r.Method != http.MethodGet || r.URL.Path != "/-/objects/groups" {
+					return false
 				}
-				forward.ServeHTTP(rw, r)
-			}))
-			t.Cleanup(store.Close)
-			w.store = store.Listener.Addr().String()
+				listings.Add(1)
+				return refused
+			})
 			is.NoErr(w.Store.Put("hosts", "host-z", entry.HostEntry{Address: "127.0.0.1:1", Zone: "gondar"}))
 			w.startHost("host-z", "gondar")
 			w.await(w.hosts[1], "ledger-strict", "READ warm")
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -258,7 +258,12 @@
 	h.rejected.remove(h.Decode.InstanceKind, record.Name)
 	entry := &registeredInstance{Instance: i, version: record.Version}
 	if known != nil {
-		entry.leavingSince, entry.demotedSince = known.leavingSince, known.demotedSince
+		entry.demotedSince = known.demotedSince
+	} else {
+		known = cs.departed[id]
+	}
+	if known != nil {
+		entry.leavingSince, entry.retired = known.leavingSince, known.retired && i.Leaving
 	}
 	if i.WarmupLeft > 0 {
 		entry.coldUntil = now.Add(i.WarmupLeft)
