platform: Reset the connection of a promote call that is given up

What callers saw.

A call that was given up closed its connection. A close sends what is queued and a FIN, and the kernel repeats that for minutes; the connection had no user timeout. The delay before a takeover's first call relies on the predecessor's being over.

Why this works. With a linger time of zero, closing the connection or the end of the process resets it and discards what was not delivered.

The suspended process was not tried.

--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -34,6 +34,23 @@
 	return conn, nil
 }
 
+// DialDiscarding is like Dial, for requests that must not arrive after they were given up.
+// Closing the connection, or the end of the process, resets it and discards what was not yet
+// delivered. If the process is suspended, the kernel does so soon after it has sent.
+func DialDiscarding(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
+	conn, err := Dial(ctx, timeout, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcpConn, ok := conn.(*net.TCPConn); ok {
+		if err := tcpConn.SetLinger(0); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("set linger time: %w", err)
+		}
+	}
+	return conn, nil
+}
+
 // Listen listens on address, host:port, over IPv4.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -43,7 +43,7 @@
 	PromotionSendTimeout = time.Second
 	// TakeoverPromotionDelay is how long a host that takes a failover over waits
 	// before its first promotion request, so that no request of its predecessor can
-	// arrive later: PromotionSendTimeout and the timeout of a request.
+	// arrive later: PromotionSendTimeout and the timeout of a request, which is then reset.
 	TakeoverPromotionDelay = PromotionSendTimeout + 1200*time.Millisecond
 	// absenceTimeout is how long the primary's entry may be missing: after an outage
 	// of the store, entries are back within about two seconds.
