entry: Do not use an instance that is leaving when first seen

What callers would see. A host that restarts, or is new, counted the drain time of a leaving instance from its own first listing. If that instance is promoted again, requests reach it for 5.5 s after the start, when it may exit at any moment.

As for the case: a host takes what it has seen of the instance for how long the instance has been leaving. A process that has seen nothing knows nothing of it.

Why this works. An instance that is leaving when a host first sees it is retired there at once. Others are used instead, or a replacement of a leaving primary is due anyway.

--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -19,12 +19,12 @@
 )
 
 // Guards against an instance that gets requests after its drain time, since a host forgets how
-// long it has been leaving (review, case 8): when its entry changes, as at a promotion, or when
-// the entry comes back after a gap.
+// long it has been leaving (review, case 8): when its entry changes, as at a promotion, when the
+// entry comes back after a gap, or when the host restarts.
 func TestLeavingInstanceThatIsPromotedAgain(t *testing.T) {
 	t.Parallel()
-	for _, lapsed := range []bool{false, true} {
-		t.Run(fmt.Sprintf("lapsed=%t", lapsed), func(t *testing.T) {
+	for _, test := range []struct{ lapsed, restarted bool }{{}, {lapsed: true}, {restarted: true}} {
+		t.Run(fmt.Sprintf("%+v", test), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			const drain, perHost = 4 * time.Second, 8
@@ -47,8 +47,8 @@
 			w.ObserveArrivals(seen.add)
 			stop := make(chan struct{})
 			defer close(stop)
-			for n := range w.hosts {
-				go w.readUntil(stop, n)
+			for _, h := range w.hosts {
+				go readUntil(stop, h)
 			}
 			for _, id := range g.Instances() {
 				if id != leaving {
@@ -56,10 +56,15 @@
 				}
 			}
 			w.awaitLeadership(`"primary":"` + leaving + `","phase":"settled"`)
-			if lapsed {
+			if test.lapsed {
 				g.Lapse(leaving)
 				time.Sleep(drain) // the hosts remove the instance meanwhile
 			}
+			if test.restarted {
+				is.NoErr(w.Store.Put("hosts", "host-z", entry.HostEntry{Address: "127.0.0.1:1", Zone: "gondar"}))
+				w.startHost("host-z", "gondar")
+				go readUntil(stop, w.hosts[2])
+			}
 			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 				g.Refresh(leaving)
 			}
@@ -97,14 +102,14 @@
 }
 
 // readUntil reads from the primary through a host until stop is closed.
-func (w *testDeployment) readUntil(stop <-chan struct{}, host int) {
+func readUntil(stop <-chan struct{}, host entry.Settings) {
 	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(2 * time.Millisecond):
 		}
-		if c, hello := dial(w.hosts[host], "ledger-strict", "key-clerks"); c != nil {
+		if c, hello := dial(host, "ledger-strict", "key-clerks"); c != nil {
 			if hello == "READY I -" {
 				c.query("READ item")
 			}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -264,6 +264,9 @@
 	}
 	if known != nil {
 		entry.leavingSince, entry.retired = known.leavingSince, known.retired && i.Leaving
+	} else {
+		// It may have been leaving for any time, and exit at any moment.
+		entry.retired = i.Leaving
 	}
 	if i.WarmupLeft > 0 {
 		entry.coldUntil = now.Add(i.WarmupLeft)
