Play a restarted host whose own listing the store refuses

TestRestartedHostUsesNoReplacedPrimary passed without the condition in primaryLocked, since a restarted host lists the leadership records itself first.

--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -61,8 +61,7 @@
 				time.Sleep(drain) // the hosts remove the instance meanwhile
 			}
 			if test.restarted {
-				is.NoErr(w.Store.Put("hosts", "host-z", entry.HostEntry{Address: "127.0.0.1:1", Zone: "gondar"}))
-				w.startHost("host-z", "gondar")
+				w.restartHost("host-z", "gondar")
 				go readUntil(stop, w.hosts[2])
 			}
 			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -24,37 +24,41 @@
 
 // Guards against a host that uses a replaced primary after a restart (review, cases 7 and 9).
 // The process before had accepted the replacement, so that no coordinator waits for this host.
-// Its relay is turned away by the store and still has the record from before.
+// Its relay is turned away by the store and still has the record from before; the store may
+// refuse the host's own listing.
 func TestRestartedHostUsesNoReplacedPrimary(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	w := start(t, 2)
-	g := w.Groups[0]
-	old := g.Primary()
-	const relay, restarted = "a", "host-z"
-	relayAddress := w.startRelayWithoutStore(w.hosts[1])
-	w.replacePrimary(old)
-	w.await(w.hosts[1], "ledger-strict", "WRITE item after")
+	for _, refused := range []bool{false, true} {
+		t.Run(fmt.Sprintf("refused=%t", refused), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t, 2)
+			old := w.Groups[0].Primary()
+			relayAddress := w.startRelayWithoutStore(w.hosts[1])
+			w.replacePrimary(old)
+			w.await(w.hosts[1], "ledger-strict", "WRITE item after")
 
-	is.NoErr(w.Store.Put("hosts", relay, entry.HostEntry{Address: relayAddress, Zone: "gondar"}))
-	is.NoErr(w.Store.Put("hosts", restarted, entry.HostEntry{Address: "127.0.0.1:1", Zone: "gondar"}))
-	w.startHost(restarted, "gondar")
-	const enough = 20
-	served := 0
-	for end := time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
-		is.True(time.Now().Before(end))
-		c, hello := dial(w.hosts[2], "ledger-strict", "key-clerks")
-		if c == nil || hello != "READY I -" {
-			continue
-		}
-		for _, text := range []string{"READ item", "WRITE other v"} {
-			answer := c.query(text)
-			is.True(!strings.Contains(answer, "COMPLETE "+old+".")) // ran on the replaced primary
-			if strings.Contains(answer, "COMPLETE i-") {
-				served++
+			is.NoErr(w.Store.Put("hosts", "a", entry.HostEntry{Address: relayAddress, Zone: "gondar"}))
+			w.store, _ = w.startStoreWithListings(refused)
+			w.restartHost("host-z", "gondar")
+			const enough = 20
+			served := 0
+			for end := time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
+				is.True(time.Now().Before(end))
+				c, hello := dial(w.hosts[2], "ledger-strict", "key-clerks")
+				if c == nil || hello != "READY I -" {
+					continue
+				}
+				for _, text := range []string{"READ item", "WRITE other v"} {
+					answer := c.query(text)
+					is.True(!strings.Contains(answer, "COMPLETE "+old+".")) // ran on the replaced primary
+					if strings.Contains(answer, "COMPLETE i-") {
+						served++
+					}
+				}
+				c.close()
 			}
-		}
-		c.close()
+		})
 	}
 }
 
@@ -68,22 +72,37 @@
 			t.Parallel()
 			is := is.New(t)
 			w := start(t, 1)
-			var listings atomic.Int64
-			w.store = startRefusingStore(t, w.StoreAddress, func(r *http.Request, _ string) bool {
-				if r.Method != http.MethodGet || r.URL.Path != "/-/objects/groups" {
-					return false
-				}
-				listings.Add(1)
-				return refused
-			})
-			is.NoErr(w.Store.Put("hosts", "host-z", entry.HostEntry{Address: "127.0.0.1:1", Zone: "gondar"}))
-			w.startHost("host-z", "gondar")
+			store, listings := w.startStoreWithListings(refused)
+			w.store = store
+			w.restartHost("host-z", "gondar")
 			w.await(w.hosts[1], "ledger-strict", "READ warm")
 			is.True(listings.Load() > 0)
 		})
 	}
 }
 
+// restartHost starts a host that an earlier process has registered.
+func (w *testDeployment) restartHost(name, zone string) {
+	w.t.Helper()
+	entryBefore := entry.HostEntry{Address: "127.0.0.1:1", Zone: proxy.Zone(zone)}
+	is.New(w.t).NoErr(w.Store.Put("hosts", name, entryBefore))
+	w.startHost(name, zone)
+}
+
+// startStoreWithListings serves as the store. It counts the listings of leadership records, and
+// the watches of them, and may refuse them.
+func (w *testDeployment) startStoreWithListings(refused bool) (address string, listings *atomic.Int64) {
+	w.t.Helper()
+	listings = &atomic.Int64{}
+	return startRefusingStore(w.t, w.StoreAddress, func(r *http.Request, _ string) bool {
+		if r.Method != http.MethodGet || r.URL.Path != "/-/objects/groups" {
+			return false
+		}
+		listings.Add(1)
+		return refused
+	}), listings
+}
+
 // forwardTo passes requests on to an address, host:port.
 func forwardTo(address string) http.Handler {
 	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
