--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -26,6 +26,7 @@
 	"fence":    {8, 16, playLowerToken},
 	"joined":   {3, 32, playNewHost},
 	"quota":    {8, 16, playLostShare},
+	"primary":  {8, 16, playNoPrimary},
 	"ids":      {8, 16, playLongIDs},
 	"ahead":    {8, 16, playSentAhead},
 }
