--- a/review/harness-3/new_host.go
+++ b/review/harness-3/new_host.go
@@ -35,13 +35,11 @@
 		i.record.Event("hosts in the store: %v", i.Store.Names("hosts"))
 		time.AfterFunc(7*time.Second, func() { g.Heal(old) })
 		g.Cut(old, "tenant0")
-		time.Sleep(5 * time.Second)
-		i.record.Event("store revision %d, leadership record: %s", i.Store.Revision(), i.Store.Object("groups", g.name))
-		if g.Primary() == old {
+		if !i.awaitReplacement(g, old, 6500*time.Millisecond) {
 			return 0, fmt.Errorf("%w: the primary was not replaced", errNoCase)
 		}
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(7 * time.Second)
 	i.record.Event("hosts in the store: %v", i.Store.Names("hosts"))
 	i.record.Event("leadership record: %s", i.Store.Object("groups", g.name))
 	t.end()
--- a/review/harness-3/replaced_primary.go
+++ b/review/harness-3/replaced_primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -33,9 +34,7 @@
 		g.Cut(old, "tenant0")
 		time.Sleep(1500 * time.Millisecond)
 		stopped := i.Terminate(restarted)
-		time.Sleep(2500 * time.Millisecond)
-		i.record.Event("leadership record: %s", i.Store.Object("groups", g.name))
-		if g.Primary() == old {
+		if !i.awaitReplacement(g, old, 5*time.Second) {
 			return 0, fmt.Errorf("%w: the primary was not replaced", errNoCase)
 		}
 		i.drill(time.Since(copyAt))
@@ -77,3 +76,15 @@
 		len(t.ledger.acknowledged), broken, lost)
 	return broken
 }
+
+// awaitReplacement waits until the leadership record in the store names another primary.
+func (i *Installation) awaitReplacement(g *Group, old string, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		record := i.Store.Object("groups", g.name)
+		if strings.Contains(record, "settled") && !strings.Contains(record, old) {
+			i.record.Event("leadership record: %s", record)
+			return true
+		}
+	}
+	return false
+}
