--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -28,7 +28,16 @@
 type leadership struct {
 	record  failover.Record
 	version proxy.StoreVersion
-	// baseVersion is the record's version before the current failover.
+	// restored is what the store holds instead since it came back from a copy; nil while it
+	// holds the record.
+	restored *restoredRecord
+	// confirmedAt is the instant as of which the store last confirmed the record.
+	confirmedAt proxy.Instant
+	// usedSince is the version of the record since which this host has used the primary
+	// without a break. It differs from version after the record was written again in a new
+	// era of the store.
+	usedSince proxy.StoreVersion
+	// baseVersion is usedSince as of before the current failover.
 	baseVersion proxy.StoreVersion
 	// failoverStart is when the host received the record that began the failover.
 	failoverStart proxy.Instant
@@ -46,6 +55,16 @@
 	coordinatorConfirmedAt proxy.Instant
 }
 
+// restoredRecord is a leadership record that was not written in the era of the store that it
+// was found in. The number of its version is zero if the store has no record.
+type restoredRecord struct {
+	version    proxy.StoreVersion
+	receivedAt proxy.Instant
+}
+
+// affirmed reports whether the store holds the record.
+func (l *leadership) affirmed() bool { return l.restored == nil }
+
 // registeredInstance is an instance's entry in the store.
 type registeredInstance struct {
 	directory.Instance
@@ -69,8 +88,10 @@
 	mu            sync.Mutex
 	configuration *directory.Configuration
 	// configurationConfirmedAt and leadershipConfirmedAt are the instants as of which
-	// the configuration and the leadership records were last confirmed to be current.
+	// the configuration and the leadership records were last confirmed to be current, the
+	// latter in leadershipEra of the store.
 	configurationConfirmedAt, leadershipConfirmedAt proxy.Instant
+	leadershipEra                                   proxy.Era
 	leaderships                                     map[proxy.GroupID]*leadership
 	// failoverTime is how long the last failover took.
 	failoverTime time.Duration
@@ -130,21 +151,21 @@
 	return s.configuration, s.configurationConfirmedAt
 }
 
-// primaryLocked returns the group's primary and the version of its leadership record
-// if this host may use the primary at now. The caller holds s.mu.
+// primaryLocked returns the group's primary, and the version of its leadership record since
+// which this host has used it, if this host may use the primary at now. The caller holds s.mu.
 func (s *clusterState) primaryLocked(
 	now proxy.Instant, id proxy.GroupID,
 ) (proxy.InstanceID, proxy.StoreVersion, bool) {
 	l := s.leaderships[id]
-	if l == nil || l.record.Phase != failover.Settled || now >= s.leadershipConfirmedAt.Add(failover.Lease) {
+	if l == nil || l.record.Phase != failover.Settled || now >= l.confirmedAt.Add(failover.Lease) {
 		return "", proxy.StoreVersion{}, false
 	}
-	if s.registeredAt == 0 || s.leadershipConfirmedAt < s.leaseFrom {
+	if s.registeredAt == 0 || l.confirmedAt < s.leaseFrom {
 		// A coordinator does not wait for a host that it has not listed, nor for one whose
 		// previous process has accepted the failover. Records from before may be replaced.
 		return "", proxy.StoreVersion{}, false
 	}
-	return l.record.Primary, l.version, true
+	return l.record.Primary, l.usedSince, true
 }
 
 // beginOperation counts an operation that depends on instance being the group's
@@ -184,12 +205,12 @@
 	switch {
 	case l == nil:
 		return false, true
-	case l.record.Phase == failover.Settled && l.version == version:
-		return true, now < s.leadershipConfirmedAt.Add(failover.Lease)
+	case l.record.Phase == failover.Settled && l.usedSince == version:
+		return true, now < l.confirmedAt.Add(failover.Lease)
 	case l.record.Phase == failover.Replacing && l.baseVersion == version && !l.accepted:
 		// The old primary still leads while a planned failover waits for running
 		// operations.
-		return true, now < s.leadershipConfirmedAt.Add(failover.Lease)
+		return true, now < l.confirmedAt.Add(failover.Lease)
 	default:
 		return false, true
 	}
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"time"
 
@@ -38,6 +37,8 @@
 	attemptPause = 5 * time.Second
 	// maxRank limits the start delay of the hosts with the highest ranks.
 	maxRank = 12
+	// lastDelay is the start delay of a host that begins a failover only if no other does.
+	lastDelay = (maxRank + 1) * rankStep
 	// pollInterval is the pause between two checks for an awaited condition.
 	pollInterval = 40 * time.Millisecond
 	// probeTimeout limits the opening of a connection for a probe and the exchange on
@@ -124,10 +125,18 @@
 		candidates := cs.registeredPrimaries(id)
 		settledFor := now.Sub(max(cs.registeredAt, cs.membersChangedAt))
 		if len(candidates) > 0 && cs.registeredAt != 0 && settledFor > settlingTime+h.rankDelay(id) {
-			return func(ctx context.Context) { h.createLeadership(ctx, id, candidates) }
+			era := cs.leadershipEra
+			return func(ctx context.Context) { h.createLeadership(ctx, id, candidates, era) }
 		}
 		return nil
 	}
+	if primary, _, leased := cs.primaryLocked(now, id); leased && !l.affirmed() {
+		found := l.restored
+		if now.Sub(found.receivedAt) < h.rankDelay(id) {
+			return nil
+		}
+		return func(ctx context.Context) { h.affirmLeadership(ctx, id, primary, found.version) }
+	}
 	groupView := cs.groupView(now, l)
 	groupView.OwnAttemptMissing = l.record.Host == h.Settings.Host
 	if groupView.Instance != nil && h.evacuations.Followed() {
@@ -141,10 +150,18 @@
 	if l.dueSince == 0 {
 		l.dueSince = now
 	}
-	if !groupView.OwnAttemptMissing && now.Sub(l.dueSince) < h.rankDelay(id) {
+	delay := h.rankDelay(id)
+	if l.record.Phase == failover.Restored {
+		// Other hosts may know the record from before the store was restored.
+		delay = lastDelay
+	}
+	if !groupView.OwnAttemptMissing && now.Sub(l.dueSince) < delay {
 		return nil
 	}
-	primary := l.record.Primary
+	primary, base := l.record.Primary, l.version
+	if !l.affirmed() {
+		base = l.restored.version
+	}
 	if candidates := cs.registeredPrimaries(id); primary == "" && len(candidates) > 0 {
 		primary = candidates[0].ID
 	}
@@ -152,13 +169,14 @@
 		return nil
 	}
 	a := &failoverAttempt{
-		host: h, group: id, reason: reason, baseVersion: l.version,
-		takenOver: l.record.Phase != failover.Settled,
+		host: h, group: id, reason: reason, baseVersion: base,
+		takenOver: l.record.Phase != failover.Settled || !l.affirmed(),
 		record: failover.Record{
 			Primary: primary,
 			Phase:   failover.Replacing,
 			Host:    h.Settings.Host,
 			Planned: reason.Planned(),
+			Era:     base.Era,
 		},
 	}
 	return a.run
@@ -170,7 +188,7 @@
 // before the failover does. The caller holds the lock of the cluster state.
 func (h *Host) rankDelay(id proxy.GroupID) time.Duration {
 	if h.stopping.Load() {
-		return (maxRank + 1) * rankStep
+		return lastDelay
 	}
 	rank := 0
 	own := coordinatorRank(id, h.Settings.Host)
@@ -208,6 +226,9 @@
 // s.mu.
 func (s *clusterState) groupView(now proxy.Instant, l *leadership) failover.View {
 	v := failover.View{Record: l.record, RecordAge: now.Sub(l.receivedAt)}
+	if !l.affirmed() && l.record.Phase != failover.Replacing {
+		v.Record.Phase, v.RecordAge = failover.Restored, now.Sub(l.restored.receivedAt)
+	}
 	v.CoordinatorRunning = l.coordinatorConfirmedAt != 0 && now.Sub(l.coordinatorConfirmedAt) < coordinatorTimeout
 	i := s.instances[l.record.Primary]
 	switch {
@@ -229,7 +250,9 @@
 
 // createLeadership writes a group's first leadership record. The candidates are the
 // instances that are registered as the primary; if there are several, they are asked.
-func (h *Host) createLeadership(ctx context.Context, id proxy.GroupID, candidates []directory.Instance) {
+func (h *Host) createLeadership(
+	ctx context.Context, id proxy.GroupID, candidates []directory.Instance, era proxy.Era,
+) {
 	primary := candidates[0].ID
 	if len(candidates) > 1 {
 		var ok bool
@@ -237,13 +260,6 @@
 			return
 		}
 	}
-	record := failover.Record{Primary: primary, Phase: failover.Settled}
-	written, err := h.Store.Write(ctx, leadershipKind, string(id), record, proxy.StoreVersion{})
-	if err != nil {
-		if !errors.Is(err, proxy.ErrConflict) {
-			h.Log.Warn().Err(err).Str("group", string(id)).Msg("first leadership record was not written")
-		}
-		return
-	}
-	h.applyLeadership(id, record, written.Version)
+	record := failover.Record{Primary: primary, Phase: failover.Settled, Era: era}
+	h.writeLeadership(ctx, id, record, proxy.StoreVersion{Era: era})
 }
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -113,6 +113,9 @@
 			return fmt.Errorf("write record: %w", err)
 		}
 	}
+	if version.Era != a.record.Era {
+		return fmt.Errorf("record of era %d was written in era %d: %w", a.record.Era, version.Era, errSuperseded)
+	}
 	h.clusterState.mu.Lock()
 	a.version, a.acknowledgedAt = version, h.Clock.Now()
 	h.clusterState.mu.Unlock()
@@ -168,15 +171,15 @@
 	if err := a.awaitRetirement(ctx); err != nil {
 		return "", err
 	}
-	overwritten := a.reason == failover.Overwritten
+	recordLost := a.reason.RecordLost()
 	for a.mayContinue() {
-		if !overwritten && (a.stepDownTriedAt == 0 || a.stepDownRefused) {
+		if !recordLost && (a.stepDownTriedAt == 0 || a.stepDownRefused) {
 			a.stepDown()
 		}
 		election := a.election()
 		primary, ok := failover.CurrentPrimary(election.Statuses)
 		// A newer term is known to most instances, if not to the old primary.
-		kept := overwritten && 2*len(election.Statuses) > len(election.Instances)
+		kept := recordLost && 2*len(election.Statuses) > len(election.Instances)
 		if ok && (primary != a.record.Primary || kept) && (primary == a.promoting || !a.promotionPending()) {
 			return primary, a.recordPrimary(ctx, primary)
 		}
@@ -306,7 +309,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	l := cs.leaderships[a.group]
-	return now.Sub(a.startedAt) < failover.AttemptTimeout && l != nil && l.version == a.version
+	return now.Sub(a.startedAt) < failover.AttemptTimeout && l != nil && l.version == a.version && l.affirmed()
 }
 
 // awaitRetirement waits until no host uses the old primary any more.
@@ -393,10 +396,10 @@
 	if err != nil {
 		return false, fmt.Errorf("read leadership record before promotion: %w", err)
 	}
-	for _, record := range listing.Records {
-		if record.Name == string(a.group) && record.Version != a.version {
-			return false, errSuperseded
-		}
+	if !slices.ContainsFunc(listing.Records, func(r proxy.Record) bool {
+		return r.Name == string(a.group) && r.Version == a.version
+	}) {
+		return false, errSuperseded
 	}
 	stillValid := func() bool {
 		return a.mayContinue() && a.host.Clock.Now().Sub(read) <= failover.PromotionSendTimeout
@@ -419,7 +422,7 @@
 // recordPrimary writes the new primary to the leadership record. If the store's
 // answer is lost, the watch of the records tells whether the write took effect.
 func (a *failoverAttempt) recordPrimary(ctx context.Context, successor proxy.InstanceID) error {
-	record := failover.Record{Primary: successor, Phase: failover.Settled}
+	record := failover.Record{Primary: successor, Phase: failover.Settled, Era: a.record.Era}
 	for a.mayContinue() {
 		written, err := a.host.Store.Write(ctx, leadershipKind, string(a.group), record, a.version)
 		a.recordStoreCall(err)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -202,7 +202,10 @@
 		State:          h.peerState,
 		Position:       func(group proxy.GroupID) (peering.Position, bool) { return h.peerPosition(group, 0) },
 		PositionWithin: h.peerPosition,
-		OnAnnouncement: func(a peering.Announcement) { h.applyLeadership(a.Group, a.Record, a.Version) },
+		OnAnnouncement: func(a peering.Announcement) {
+			h.eras.observe(a.Version.Era)
+			h.applyLeadership(a.Group, a.Record, a.Version)
+		},
 	}
 	h.mirrors = map[proxy.Kind]*mirror{
 		h.Decode.ConfigurationKind: newMirror(configurationBatchDelay, h.Log),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -46,7 +46,7 @@
 	Registry metrics.Registry
 
 	served, connectionOpened, connectionFull, connectionBroken,
-	retried, unlogged, storeReads, storeEras, recordsRejected, sessionsPanicked, forwarded, forwardedFailed, commandsServed,
+	retried, unlogged, storeReads, storeEras, recordsRejected, recordsRestored, sessionsPanicked, forwarded, forwardedFailed, commandsServed,
 	instancesShed, lagKnown, evacuated, cold,
 	endedMemory, endedUnfinished, endedUnread, connectionsRefused metrics.Counter
 	codes         map[proxy.Code]metrics.Counter
@@ -81,6 +81,7 @@
 		"store.reads":        &m.storeReads,
 		"store.eras":         &m.storeEras,
 		"records.rejected":   &m.recordsRejected,
+		"records.restored":   &m.recordsRestored,
 		"sessions.panicked":  &m.sessionsPanicked,
 		"commands.forwarded": &m.forwarded,
 		"commands.lost":      &m.forwardedFailed,
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -155,7 +155,7 @@
 	g := w.Groups[0]
 	instances := g.Instances()
 	successor := instances[slices.IndexFunc(instances, func(id string) bool { return id != old })]
-	is.NoErr(w.Store.Put("groups", g.Name, failover.Record{Primary: proxy.InstanceID(successor), Phase: failover.Settled}))
+	is.NoErr(w.Store.Put("groups", g.Name, failover.Record{Primary: proxy.InstanceID(successor), Phase: failover.Settled, Era: 1}))
 	promoter := platform.NewPromotionClient(w.PromotionAddress)
 	is.NoErr(promoter.Promote(context.Background(), proxy.Promotion{
 		Group: proxy.GroupID(g.Name), Instance: proxy.InstanceID(successor), Holder: "test", Fence: 1 << 20,
--- a/internal/entry/restored_store_test.go
+++ b/internal/entry/restored_store_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -81,3 +82,81 @@
 		w.await(h, "added", "WRITE item v")
 	}
 }
+
+// Guards against a host that takes the leadership record of a restored store for the present one
+// (review, case 11): a host that started after the restore used the replaced primary. The copy is
+// from before the replacement, or from before the group's first record.
+func TestReplacedPrimaryAfterRestore(t *testing.T) {
+	t.Parallel()
+	for _, recorded := range []bool{true, false} {
+		t.Run(fmt.Sprintf("recorded=%t", recorded), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t, 4)
+			old := w.Groups[0].Primary()
+			if !recorded {
+				w.Store.Delete("groups", "ledger")
+			}
+			store := w.Store.Copy()
+			w.replacePrimary(old)
+			for _, h := range w.hosts {
+				w.await(h, "ledger-strict", "WRITE item after")
+			}
+			w.loseWrites()
+			w.Restore(store)
+			w.restartHost("host-z", "gondar")
+			w.awaitServedElsewhere(old)
+			w.awaitLeadership(w.Groups[0].Primary())
+			is.True(w.Groups[0].Primary() != old)
+		})
+	}
+}
+
+// Guards against a replaced primary that is used when all hosts have started after the restore, so
+// that none knows what it has lost.
+func TestReplacedPrimaryAfterRestoreAndRestarts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	old := w.Groups[0].Primary()
+	store := w.Store.Copy()
+	w.replacePrimary(old)
+	for _, h := range w.hosts {
+		w.await(h, "ledger-strict", "WRITE item after")
+	}
+	for n, stop := range w.stops {
+		stop()
+		is.NoErr(<-w.ended[n])
+	}
+	w.hosts = nil
+	w.Restore(store)
+	w.restartHost("host-0", "gondar")
+	w.restartHost("host-1", "woldia")
+	w.awaitServedElsewhere(old)
+	is.True(w.Groups[0].Primary() != old)
+}
+
+// awaitServedElsewhere waits until each host has served strict statements, and checks that none of
+// them ran on an instance.
+func (w *testDeployment) awaitServedElsewhere(instance string) {
+	w.t.Helper()
+	is := is.New(w.t)
+	const enough = 20
+	for _, h := range w.hosts {
+		for served, end := 0, time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
+			is.True(time.Now().Before(end)) // host serves
+			c, hello := dial(h, "ledger-strict", "key-clerks")
+			if c == nil || hello != "READY I -" {
+				continue
+			}
+			for _, text := range []string{"READ item", "WRITE other v"} {
+				answer := c.query(text)
+				is.True(!strings.Contains(answer, "COMPLETE "+instance+".")) // ran on the instance
+				if strings.Contains(answer, "COMPLETE i-") {
+					served++
+				}
+			}
+			c.close()
+		}
+	}
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -11,8 +10,6 @@
 	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
-const leadershipKind proxy.Kind = "groups"
-
 const (
 	// confirmationWait is how long the store may hold the watches whose answers
 	// confirm that nothing has changed. A confirmation is up to two waits old, which
@@ -98,95 +95,6 @@
 	return true
 }
 
-func (h *Host) followLeaderships(ctx context.Context) {
-	f := h.newFollower(leadershipKind, confirmationWait)
-	f.applySnapshot = h.applyLeaderships
-	f.applyChanges = h.applyLeaderships
-	f.run(ctx)
-}
-
-// applyLeaderships records changed leadership records and when they were confirmed to
-// be current. A group whose record cannot be decoded has no primary until a host has
-// replaced the record.
-func (h *Host) applyLeaderships(confirmedAt proxy.Instant, listing proxy.Listing) {
-	for _, record := range listing.Records {
-		if record.Deleted {
-			continue
-		}
-		r, err := decodeLeadership(record.Spec)
-		if err != nil {
-			h.rejected.add(leadershipKind, record.Name, record.Version, err.Error())
-		} else {
-			h.rejected.remove(leadershipKind, record.Name)
-		}
-		h.recordLeadership(proxy.GroupID(record.Name), r, record.Version)
-	}
-	h.clusterState.mu.Lock()
-	h.clusterState.leadershipConfirmedAt = max(h.clusterState.leadershipConfirmedAt, confirmedAt)
-	h.clusterState.mu.Unlock()
-	if len(listing.Records) > 0 {
-		h.updateDispatch()
-	}
-}
-
-// decodeLeadership decodes a leadership record. After an error, the record is
-// failover.Unreadable.
-func decodeLeadership(spec []byte) (failover.Record, error) {
-	var r failover.Record
-	err := json.Unmarshal(spec, &r)
-	if err == nil {
-		err = r.Validate()
-	}
-	if err != nil {
-		return failover.Record{Phase: failover.Unreadable}, fmt.Errorf("decode leadership record: %w", err)
-	}
-	return r, nil
-}
-
-// recordLeadership records a version of a group's leadership record and reports
-// whether it is new. The primary of an unreadable record is the one that was known
-// before.
-func (h *Host) recordLeadership(id proxy.GroupID, r failover.Record, version proxy.StoreVersion) bool {
-	cs := h.clusterState
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	old := cs.leaderships[id]
-	if old != nil && old.version.Version >= version.Version {
-		return false
-	}
-	l := &leadership{record: r, version: version, receivedAt: h.Clock.Now()}
-	if old != nil {
-		if r.Phase == failover.Unreadable {
-			l.record.Primary = old.record.Primary
-		}
-		l.running = old.running
-		l.baseVersion, l.failoverStart = old.version, l.receivedAt
-		if old.record.Phase == failover.Replacing {
-			l.baseVersion, l.failoverStart, l.accepted =
-				old.baseVersion, old.failoverStart, old.accepted && r.Phase == failover.Replacing
-			if r.Phase == failover.Settled {
-				cs.failoverTime = l.receivedAt.Sub(old.failoverStart)
-			}
-		}
-	}
-	cs.leaderships[id] = l
-	if old != nil && old.record.Primary != r.Primary {
-		delete(cs.suspectedSince, r.Primary)
-	}
-	h.Log.Info().Str("group", string(id)).Str("primary", string(r.Primary)).Str("phase", string(r.Phase)).
-		Str("conductor", string(r.Host)).Bool("planned", r.Planned).Uint64("era", uint64(version.Era)).Uint64("version", uint64(version.Version)).
-		Msg("leadership changed")
-	return true
-}
-
-// applyLeadership records a version of a group's leadership record that did not come
-// from the watch, and uses it at once.
-func (h *Host) applyLeadership(id proxy.GroupID, r failover.Record, version proxy.StoreVersion) {
-	if h.recordLeadership(id, r, version) {
-		h.updateDispatch()
-	}
-}
-
 func (h *Host) followInstances(ctx context.Context) {
 	f := h.newFollower(h.Decode.InstanceKind, instanceWait)
 	f.applySnapshot = h.replaceInstances
--- a/internal/peering/fuzz_test.go
+++ b/internal/peering/fuzz_test.go
@@ -20,7 +20,7 @@
 		map[int]any{1: 7, 2: true, 4: map[int]any{1: "b"}},
 		map[int]any{1: 7, 3: []any{map[int]any{1: "clerks", 2: 5}}},
 		map[int]any{1: 7, 3: []any{map[int]any{1: "clerks", 2: 1 << 62}}, 6: 1},
-		map[int]any{1: 7, 5: map[int]any{1: "ledger", 2: map[int]any{1: 2, 2: 9}, 3: map[string]any{"primary": "i-1", "phase": "replacing"}}},
+		map[int]any{1: 7, 5: map[int]any{1: "ledger", 2: map[int]any{1: 2, 2: 9}, 3: map[string]any{"primary": "i-1", "phase": "replacing", "era": 2}}},
 		map[int]any{1: 7, 5: map[int]any{1: "ledger", 2: map[int]any{1: 2, 2: 9}, 3: map[string]any{"primary": "i-1", "phase": "unreadable"}}},
 		map[int]any{1: 7, 7: "ledger"},
 		map[int]any{1: 7, 9: []any{map[int]any{1: "clerks"}}, 10: "a"},
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -109,6 +109,9 @@
 		if err := m.Announcement.Record.Validate(); err != nil {
 			return fmt.Errorf("announcement: %w", err)
 		}
+		if written, announced := m.Announcement.Record.Era, m.Announcement.Version.Era; written != announced {
+			return eris.Errorf("announcement in era %d of a record of era %d", announced, written)
+		}
 	}
 	if m.Position != nil && m.Position.Age < 0 {
 		return eris.Errorf("position with the age %v: negative ages are not allowed", m.Position.Age)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -68,7 +68,7 @@
 	a, b := start(t, "a"), start(t, "b")
 	announcement := peering.Announcement{
 		Group: "ledger", Version: proxy.StoreVersion{Era: 2, Version: 9},
-		Record: failover.Record{Primary: "i-1", Phase: failover.Replacing, Host: "a"},
+		Record: failover.Record{Primary: "i-1", Phase: failover.Replacing, Host: "a", Era: 2},
 	}
 	states := a.QueryStates(context.Background(), []peering.Peer{b.Peer}, &announcement, waitTimeout)
 	is.Equal(len(states), 1)
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -9,6 +9,11 @@
 // sent it: a process uses a primary only after a read of the record that began after the
 // process did. Therefore no host acknowledges a write or answers a strict read on the old
 // primary after a commit on the new one.
+//
+// A store that comes back from a copy may return a record that had been replaced. Records
+// therefore name the era of the store in which they were written, and count in that era only. A
+// host whose lease from the era before has not expired knows that its primary was not replaced,
+// and writes the record again in the new era. If no lease is left, a failover finds the primary.
 package failover
 
 import (
@@ -63,12 +68,14 @@
 // Phase is the state of a leadership record.
 type Phase string
 
-// The phases of a leadership record. Unreadable is never stored: it stands for a record
-// that another writer has overwritten with something else.
+// The phases of a leadership record. The last two are never stored. Unreadable stands for a
+// record that another writer has overwritten with something else, Restored for one that was
+// written in another era of the store than it is found in.
 const (
 	Settled    Phase = "settled"
 	Replacing  Phase = "replacing"
 	Unreadable Phase = "unreadable"
+	Restored   Phase = "restored"
 )
 
 // Record is the stored leadership record of a group.
@@ -80,6 +87,9 @@
 	// Planned failovers wait for running transactions and until the successor has
 	// received every commit.
 	Planned bool `json:"planned,omitempty"`
+	// Era is the era of the store in which the record was written. In any other era it may be
+	// a copy that a later record had replaced, and no host uses a primary by it.
+	Era proxy.Era `json:"era,omitempty"`
 }
 
 // Validate checks a record that was read from the store.
@@ -105,12 +115,17 @@
 	Unreachable Reason = "most hosts cannot reach the primary"
 	Abandoned   Reason = "replacement was not completed"
 	Overwritten Reason = "leadership record is not readable"
+	NotAffirmed Reason = "leadership record is of another era of the store"
 )
 
 // Planned reports whether the old primary still serves, so that the failover waits for
 // running operations and until the successor has received every commit.
 func (r Reason) Planned() bool { return r == Leaving || r == Evacuated }
 
+// RecordLost reports that the record does not tell which instance leads, so that the one that
+// most instances know as the primary is kept.
+func (r Reason) RecordLost() bool { return r == Overwritten || r == NotAffirmed }
+
 // View is a host's view of a group, the input of Decide.
 type View struct {
 	Record Record
@@ -140,6 +155,9 @@
 	if v.Record.Phase == Unreadable {
 		return Overwritten, true
 	}
+	if v.Record.Phase == Restored {
+		return NotAffirmed, v.RecordAge > Lease+leaseClockMargin
+	}
 	if v.Record.Phase == Replacing {
 		return Abandoned, v.OwnAttemptMissing || v.RecordAge > takeoverTimeout || !v.CoordinatorRunning && v.RecordAge > coordinatorStartTimeout
 	}
