--- a/internal/entry/cluster_state.go
+++ b/internal/entry/cluster_state.go
@@ -104,6 +104,8 @@
 	positionHistories   map[proxy.GroupID]*freshness.History
 	// members are the hosts registered in the store.
 	members map[proxy.HostID]*member
+	// membersEra is the era of their last complete listing.
+	membersEra proxy.Era
 	// membersChangedAt is when the hosts last changed.
 	membersChangedAt proxy.Instant
 	// holders caches the holders of instances, and candidates the hosts among which they
@@ -117,6 +119,8 @@
 	// primaries. countedFrom is when all other hosts take the entry into account. All are
 	// zero while the host is not registered.
 	registeredAt, leaseFrom, countedFrom proxy.Instant
+	// registeredEra is the era of the store that is known to hold the entry.
+	registeredEra proxy.Era
 	// votes are the results of polls on the primaries that this host suspects.
 	votes map[proxy.InstanceID]vote
 	// attempts are the failovers that this host coordinates. No new one begins before
--- a/internal/entry/era.go
+++ b/internal/entry/era.go
@@ -58,11 +58,11 @@
 	return t.era, era == 0 || era == t.era
 }
 
-// current returns the era, and how long this host has known it.
-func (t *eraTracker) current() (proxy.Era, time.Duration) {
+// current returns the era, and when this host learned of it.
+func (t *eraTracker) current() (proxy.Era, proxy.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.era, t.Clock.Now().Sub(t.since)
+	return t.era, t.since
 }
 
 // withinEra returns a context that also ends when the store is in a later era than the given
--- a/internal/entry/failover_attempt.go
+++ b/internal/entry/failover_attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -53,6 +54,9 @@
 	stepDownRefused                bool
 	// missingLogged reports that logMissing has logged.
 	missingLogged bool
+	// eraSince is since when at the latest the store is in the era of the record. The host that
+	// has known it for longest tells.
+	eraSince proxy.Instant
 	// storeFailingSince is when the store began to leave the attempt without answers; zero
 	// while it answers. The lock of the cluster state guards it and version.
 	storeFailingSince proxy.Instant
@@ -119,6 +123,7 @@
 	h.clusterState.mu.Lock()
 	a.version, a.acknowledgedAt = version, h.Clock.Now()
 	h.clusterState.mu.Unlock()
+	_, a.eraSince = h.eras.current()
 	h.applyLeadership(a.group, a.record, version)
 	return nil
 }
@@ -317,7 +322,7 @@
 	for a.mayContinue() {
 		allConfirmed := a.allConfirmed(ctx)
 		since := a.host.Clock.Now().Sub(a.acknowledgedAt)
-		if failover.Retired(since, allConfirmed) &&
+		if failover.Retired(since, allConfirmed, a.restoredFor()) &&
 			(!a.takenOver || since > failover.TakeoverPromotionDelay) {
 			a.host.Log.Info().Str("group", string(a.group)).Uint64("era", uint64(a.version.Era)).Uint64("version", uint64(a.version.Version)).
 				Bool("confirmed", allConfirmed).Dur("after", since).Msg("replacement may promote")
@@ -342,6 +347,9 @@
 			a.host.Log.Warn().Err(err).Str("group", string(a.group)).Msg("hosts were not listed")
 			return false
 		}
+		if listing.Version.Era != a.version.Era {
+			return false // the attempt ends, since its record is not the store's any more
+		}
 		a.unconfirmedHosts = make(map[proxy.HostID]peering.Peer, len(listing.Records))
 		for _, record := range listing.Records {
 			e, err := decodeHostEntry(record)
@@ -355,6 +363,9 @@
 	announcement := &peering.Announcement{Group: a.group, Version: a.version, Record: a.record}
 	for _, s := range a.host.peerEndpoint.QueryStates(ctx,
 		slices.Collect(maps.Values(a.unconfirmedHosts)), announcement, voteTimeout) {
+		if s.Era == a.version.Era {
+			a.eraSince = min(a.eraSince, a.host.Clock.Now().Add(-s.EraAge))
+		}
 		if slices.Contains(s.Accepted, peering.Acceptance{Group: a.group, Version: a.version}) {
 			delete(a.unconfirmedHosts, s.Host)
 		}
@@ -362,6 +373,14 @@
 	return len(a.unconfirmedHosts) == 0
 }
 
+// restoredFor returns for how long the era of the attempt's record is known to last.
+func (a *failoverAttempt) restoredFor() time.Duration {
+	if a.version.Era == 0 {
+		return failover.NeverRestored
+	}
+	return a.host.Clock.Now().Sub(a.eraSince)
+}
+
 // stepDown makes the old primary a replica if it can be reached, and records the end of
 // its log.
 func (a *failoverAttempt) stepDown() {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -309,6 +309,7 @@
 		h.logPaces(now)
 		h.refreshPositions(now)
 		h.expireInstances(now)
+		h.expireMembers(now)
 		h.applyClosedZones(now)
 		h.acceptFailovers(now)
 		h.peerEndpoint.RequestLoans()
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	l := &leadership{record: r, version: version, receivedAt: now, usedSince: version}
-	if cs.leadershipEra == version.Era {
+	if cs.leadershipEra == version.Era && cs.registeredEra == version.Era {
 		l.confirmedAt = cs.leadershipConfirmedAt
 	}
 	if old != nil {
@@ -156,9 +156,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leadershipConfirmedAt, s.leadershipEra = max(s.leadershipConfirmedAt, confirmedAt), era
+	s.extendLeasesLocked()
+}
+
+// confirmRegistrationLocked records that the store holds this host's entry in an era. The caller
+// holds s.mu.
+func (s *clusterState) confirmRegistrationLocked(era proxy.Era) {
+	s.registeredEra = era
+	s.extendLeasesLocked()
+}
+
+// extendLeasesLocked passes the last confirmation of the leadership records to the groups. In an
+// era in which the host is not known to be registered, it extends no lease: a coordinator does
+// not wait for a host that it has not listed. The caller holds s.mu.
+func (s *clusterState) extendLeasesLocked() {
+	if s.registeredEra != s.leadershipEra {
+		return
+	}
 	for _, l := range s.leaderships {
-		if l.affirmed() && l.version.Era == era {
-			l.confirmedAt = max(l.confirmedAt, confirmedAt)
+		if l.affirmed() && l.version.Era == s.leadershipEra {
+			l.confirmedAt = max(l.confirmedAt, s.leadershipConfirmedAt)
 		}
 	}
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -75,6 +75,9 @@
 type member struct {
 	entry   HostEntry
 	version proxy.StoreVersion
+	// keptUntil is until when the host is counted although a restored store has lost its entry;
+	// zero while the entry is there.
+	keptUntil proxy.Instant
 	// unresponsiveSince is when the host first failed to answer; zero while it
 	// answers.
 	unresponsiveSince proxy.Instant
@@ -124,10 +127,12 @@
 	if errors.Is(err, proxy.ErrConflict) && record.Version.Version != 0 {
 		if old, decodeErr := decodeHostEntry(record); decodeErr != nil || old != entry {
 			// The host has restarted with another address.
-			if _, err := h.Store.Write(ctx, memberKind, record.Name, entry, record.Version); err != nil {
+			written, err := h.Store.Write(ctx, memberKind, record.Name, entry, record.Version)
+			if err != nil {
 				h.Log.Warn().Err(err).Msg("address of the host was not registered")
 				return false
 			}
+			record = written
 		}
 	}
 	if err != nil && !errors.Is(err, proxy.ErrConflict) {
@@ -148,20 +153,32 @@
 	if err == nil {
 		h.clusterState.countedFrom = h.clusterState.registeredAt.Add(joinWait)
 	}
-	h.Log.Info().Bool("existed", err != nil).Msg("host registered")
+	h.clusterState.confirmRegistrationLocked(record.Version.Era)
+	h.Log.Info().Bool("existed", err != nil).Uint64("era", uint64(record.Version.Era)).Msg("host registered")
 	return true
 }
 
+// replaceMembers applies a complete listing. Hosts whose entries were lost when the store was
+// restored register again. Until they have had the time for it, they are counted, so that no other
+// host uses their shares of the rates.
 func (h *Host) replaceMembers(confirmedAt proxy.Instant, listing proxy.Listing) {
+	now := h.Clock.Now()
 	present := make(map[proxy.HostID]bool, len(listing.Records))
 	for _, record := range listing.Records {
 		present[proxy.HostID(record.Name)] = true
 	}
 	cs := h.clusterState
 	cs.mu.Lock()
+	restored := listing.Version.Era > cs.membersEra
+	cs.membersEra = listing.Version.Era
 	removed := 0
-	for id := range cs.members {
-		if !present[id] {
+	for id, m := range cs.members {
+		switch {
+		case present[id]:
+		case restored && id != h.Settings.Host:
+			m.keptUntil = now.Add(joinWait)
+			h.Log.Info().Str("lost", string(id)).Msg("entry of a host was lost when the store was restored")
+		case now >= m.keptUntil:
 			delete(cs.members, id)
 			removed++
 		}
@@ -186,13 +203,16 @@
 		cs.forgetHoldersLocked()
 	}
 	own := cs.members[h.Settings.Host]
+	registered := own != nil && own.entry.Address == h.Settings.Peer.String()
+	if registered && cs.registeredAt != 0 && own.version.Era == listing.Version.Era {
+		cs.confirmRegistrationLocked(listing.Version.Era)
+	}
 	hosts := len(cs.members)
 	cs.mu.Unlock()
 	if changed {
 		h.Log.Info().Int("hosts", hosts).Msg("hosts changed")
 	}
 	// Another host may have removed the entry, or another writer overwritten it.
-	registered := own != nil && own.entry.Address == h.Settings.Peer.String()
 	if !registered && cs.leadershipConfirmedAt != 0 && confirmedAt > cs.registeredAt {
 		h.rejoin()
 	}
@@ -221,12 +241,27 @@
 	return true
 }
 
+// expireMembers stops counting the hosts that have not registered again after a restore.
+func (h *Host) expireMembers(now proxy.Instant) {
+	cs := h.clusterState
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for id, m := range cs.members {
+		if m.keptUntil != 0 && now >= m.keptUntil {
+			delete(cs.members, id)
+			h.membersChanged, cs.membersChangedAt = true, now
+			cs.forgetHoldersLocked()
+			h.Log.Info().Str("lost", string(id)).Msg("host has not registered again")
+		}
+	}
+}
+
 // rejoin registers the host again after its entry was removed or overwritten.
 func (h *Host) rejoin() {
 	h.Log.Warn().Msg("entry of this host was removed or overwritten")
 	cs := h.clusterState
 	cs.mu.Lock()
-	cs.registeredAt, cs.leaseFrom, cs.countedFrom = 0, 0, 0
+	cs.registeredAt, cs.leaseFrom, cs.countedFrom, cs.registeredEra = 0, 0, 0, 0
 	cs.mu.Unlock()
 	h.updateAllowances()
 	ctx, cancel := context.WithTimeout(context.Background(), joinWait)
@@ -324,6 +359,9 @@
 func (h *Host) peerState() peering.State {
 	now := h.Clock.Now()
 	s := peering.State{Host: h.Settings.Host}
+	var since proxy.Instant
+	s.Era, since = h.eras.current()
+	s.EraAge = now.Sub(since)
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/entry/restored_store_test.go
+++ b/internal/entry/restored_store_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/auburnyoke/auburnyoke/internal/emulator/deployment"
 	"github.com/auburnyoke/auburnyoke/internal/entry"
+	"github.com/auburnyoke/auburnyoke/pkg/proxy/failover"
 )
 
 // lostWrites is the number of versions that the store gives out and loses before it is restored.
@@ -160,3 +163,66 @@
 		}
 	}
 }
+
+// Guards against a promotion in a new era of the store while hosts that it has forgotten still
+// have leases (review, case 12). The lower bound of the time doesn't depend on the machine.
+func TestNoPromotionBeforeLeasesOfTheEraBeforeEnd(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	old := w.Groups[0].Primary()
+	restored := time.Now()
+	w.Restore(w.Store.Copy())
+	w.Groups[0].Drain(old)
+	w.awaitPrimary(func(id string) bool { return id != old && id != "" })
+	is.True(time.Since(restored) >= failover.Lease)
+}
+
+// Guards against a host that goes on with its lease although the store has forgotten its
+// registration, so that no coordinator asks it (review, case 12), and against one that never
+// serves again. The store refuses all calls for the list of hosts for a time.
+func TestForgottenHostUsesNoPrimary(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 1)
+	var refused atomic.Bool
+	w.store = startRefusingStore(t, w.StoreAddress, func(r *http.Request, _ string) bool {
+		return refused.Load() && strings.HasPrefix(r.URL.Path, "/-/objects/hosts")
+	})
+	w.stops[0]()
+	is.NoErr(<-w.ended[0])
+	w.Store.Delete("hosts", "host-0")
+	store := w.Store.Copy()
+	w.startHost("host-x", "gondar")
+	forgotten := w.hosts[1]
+	w.await(forgotten, "ledger-strict", "WRITE item v")
+	refused.Store(true)
+	w.Restore(store)
+	w.awaitAnswer(forgotten, "ledger-strict", "WRITE item v", "ERROR BUSY")
+	w.awaitAnswer(forgotten, "ledger-strict", "WRITE item v", "ERROR BUSY") // not by chance
+	is.True(!w.Store.Has("hosts", "host-x"))
+	refused.Store(false)
+	w.await(forgotten, "ledger-strict", "WRITE item v")
+	is.True(w.Store.Has("hosts", "host-x"))
+}
+
+// Guards against a host that follows a relay and never registers again after the store has
+// forgotten it (review, case 12), and against other hosts that use its share of the rates meanwhile.
+func TestForgottenHostRegistersAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	store := w.Store.Copy()
+	w.startHost("host-x", "gondar")
+	w.await(w.hosts[2], "ledger-strict", "WRITE item v")
+	w.loseWrites()
+	w.Restore(store)
+	for end := time.Now().Add(waitTimeout); !w.Store.Has("hosts", "host-x"); time.Sleep(20 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // registers again
+	}
+	w.await(w.hosts[2], "ledger-strict", "WRITE item v")
+	for n := range 2 {
+		is.Equal(w.logs[n].line("host has not registered again"), "")
+		w.awaitLog(n, "hosts changed", `"hosts":3`)
+	}
+}
--- a/internal/peering/message.go
+++ b/internal/peering/message.go
@@ -63,6 +63,10 @@
 	Suspects []proxy.InstanceID `cbor:"3,keyasint,omitempty"`
 	// Coordinating are the failovers on which the host is working.
 	Coordinating []Acceptance `cbor:"4,keyasint,omitempty"`
+	// Era is the newest era of the store that the host knows, EraAge for how long it has known
+	// it.
+	Era    proxy.Era     `cbor:"5,keyasint,omitempty"`
+	EraAge time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Acceptance identifies the version of a group's leadership record that a host has
@@ -116,6 +120,9 @@
 	if m.Position != nil && m.Position.Age < 0 {
 		return eris.Errorf("position with the age %v: negative ages are not allowed", m.Position.Age)
 	}
+	if m.State != nil && m.State.EraAge < 0 {
+		return eris.Errorf("state in an era known for %v: negative ages are not allowed", m.State.EraAge)
+	}
 	if m.Within < 0 {
 		return eris.Errorf("query for a position within %v: negative ages are not allowed", m.Within)
 	}
--- a/pkg/proxy/failover/failover.go
+++ b/pkg/proxy/failover/failover.go
@@ -17,6 +17,7 @@
 package failover
 
 import (
+	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -177,11 +178,16 @@
 	}
 }
 
+// NeverRestored is the age of the history of a store that reports no eras.
+const NeverRestored = time.Duration(math.MaxInt64)
+
 // Retired reports whether no host uses the old primary any more. Since is the time
 // since the store acknowledged the record that began the failover. Confirmed reports
-// that every registered host has accepted the failover.
-func Retired(since time.Duration, confirmed bool) bool {
-	return confirmed || since > Lease+leaseClockMargin
+// that every registered host has accepted the failover. Restored is the time for which
+// the store's era is known to last: a host whose registration was lost when it began
+// is not asked, but may have a lease from before.
+func Retired(since time.Duration, confirmed bool, restored time.Duration) bool {
+	return confirmed && restored > Lease+leaseClockMargin || since > Lease+leaseClockMargin
 }
 
 // CurrentPrimary returns the instance that is primary in the newest term that any
--- a/pkg/proxy/failover/failover_test.go
+++ b/pkg/proxy/failover/failover_test.go
@@ -34,9 +34,11 @@
 // primary.
 func TestRetiredNeedsEveryHostOrTheLease(t *testing.T) {
 	is := is.New(t)
-	is.True(!failover.Retired(failover.Lease, false))
-	is.True(failover.Retired(failover.Lease+time.Second, false))
-	is.True(failover.Retired(0, true))
+	is.True(!failover.Retired(failover.Lease, false, failover.NeverRestored))
+	is.True(failover.Retired(failover.Lease+time.Second, false, 0))
+	is.True(failover.Retired(0, true, failover.NeverRestored))
+	is.True(!failover.Retired(0, true, failover.Lease)) // hosts whose registrations were lost have leases
+	is.True(failover.Retired(0, true, failover.Lease+time.Second))
 }
 
 // Guards against replacing a healthy primary, and against keeping a failed one.
