entry: Pass over an instance's older entry after a restore

Callers: after a drill of the store, a leaving instance could get statements again, later than its drain time after its report.

Cause: the copy may hold the entry from before the report, and the store's entry was believed in a new era.

Change: in a new era an entry that the instance wrote before the known one, by its start and its count of heartbeats, is passed over.

Evidence: TestLeavingInstanceAfterRestore failed before and passes.

--- a/internal/entry/restored_store_test.go
+++ b/internal/entry/restored_store_test.go
@@ -248,3 +248,30 @@
 	is.True(slices.IsSorted(tokens))
 	is.True(tokens[0] < tokens[len(tokens)-1])
 }
+
+// Guards against a leaving instance that gets statements again since a restored store holds its
+// entry from before, until the instance writes again.
+func TestLeavingInstanceAfterRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, 2)
+	leaving := w.Groups[0].Instances()[2]
+	store := w.Store.Copy()
+	w.Groups[0].Drain(leaving)
+	for n := range w.hosts {
+		w.awaitLog(n, `"instance":"`+leaving+`"`, `"leaving":true`)
+	}
+	w.Store.Restore(store, "config")
+	for n := range w.hosts {
+		w.awaitLog(n, "store is in a new era", `"era":2`)
+	}
+	const listed = 20 // statements; by then hosts have listed the instances again
+	for n := range w.hosts {
+		c := w.session(n, "ledger-bounded")
+		for range listed {
+			time.Sleep(50 * time.Millisecond)
+			is.True(!strings.Contains(c.query("READ item"), "COMPLETE "+leaving+"."))
+		}
+		is.True(strings.Contains(w.logs[n].line(`"instance":"`+leaving+`","group"`), `"leaving":true`))
+	}
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -164,6 +164,14 @@
 		return
 	}
 	h.rejected.remove(h.Decode.InstanceKind, record.Name)
+	if known != nil && known.version.Era != record.Version.Era && known.WrittenAfter(i) {
+		// A restored store holds an entry that the instance has replaced since. It may be of
+		// before the instance began to leave.
+		known.version = record.Version
+		h.Log.Info().Str("instance", string(id)).Uint64("era", uint64(record.Version.Era)).
+			Uint64("sequence", i.Sequence).Uint64("known", known.Sequence).Msg("older entry of an instance passed over")
+		return
+	}
 	entry := &registeredInstance{Instance: i, version: record.Version}
 	if known != nil {
 		entry.demotedSince = known.demotedSince
--- a/pkg/proxy/directory/directory.go
+++ b/pkg/proxy/directory/directory.go
@@ -172,6 +172,18 @@
 	WarmupLeft time.Duration
 	// Born is when the instance started, in Unix milliseconds; zero if unknown.
 	Born int64
+	// Sequence rises each time that the instance writes its entry. It starts anew with the
+	// instance.
+	Sequence uint64
+}
+
+// WrittenAfter reports whether the instance is known to have written this entry after another
+// one of its own.
+func (i Instance) WrittenAfter(other Instance) bool {
+	if i.Born != other.Born {
+		return i.Born > other.Born && other.Born != 0
+	}
+	return i.Born != 0 && i.Sequence > other.Sequence
 }
 
 // Limits of an instance's entry. An entry beyond them is not written by an instance.
