--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -357,11 +357,9 @@
 
 // peerState returns the state that this host reports to other hosts.
 func (h *Host) peerState() peering.State {
+	era, since := h.eras.current()
 	now := h.Clock.Now()
-	s := peering.State{Host: h.Settings.Host}
-	var since proxy.Instant
-	s.Era, since = h.eras.current()
-	s.EraAge = now.Sub(since)
+	s := peering.State{Host: h.Settings.Host, Era: era, EraAge: now.Sub(since)}
 	cs := h.clusterState
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/entry/restored_store_test.go
+++ b/internal/entry/restored_store_test.go
@@ -275,3 +275,24 @@
 		is.True(strings.Contains(w.logs[n].line(`"instance":"`+leaving+`","group"`), `"leaving":true`))
 	}
 }
+
+// Guards against a group that has no primary for ever since the store was restored while its
+// primary was being replaced (review 3, primary).
+func TestRestoreDuringFailover(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const perHost = 8
+	w := startWith(t, 2, 2*perHost, func(g *deployment.Group) { g.PromotionDelay = time.Second })
+	old := w.Groups[0].Primary()
+	store := w.Store.Copy()
+	w.loseWrites()
+	w.Groups[0].Drain(old)
+	w.awaitLeadership(`"replacing"`)
+	w.Restore(store)
+	w.awaitPrimary(func(id string) bool { return id != old && id != "" })
+	for _, h := range w.hosts {
+		w.await(h, "ledger-strict", "WRITE item v")
+	}
+	tokens := w.Tokens()
+	is.True(slices.IsSorted(tokens))
+}
