--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -8,7 +8,6 @@
 	"net/http/httputil"
 	"net/url"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,23 +40,7 @@
 			is.NoErr(w.Store.Put("hosts", "a", entry.HostEntry{Address: relayAddress, Zone: "gondar"}))
 			w.store, _ = w.startStoreWithListings(refused)
 			w.restartHost("host-z", "gondar")
-			const enough = 20
-			served := 0
-			for end := time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
-				is.True(time.Now().Before(end))
-				c, hello := dial(w.hosts[2], "ledger-strict", "key-clerks")
-				if c == nil || hello != "READY I -" {
-					continue
-				}
-				for _, text := range []string{"READ item", "WRITE other v"} {
-					answer := c.query(text)
-					is.True(!strings.Contains(answer, "COMPLETE "+old+".")) // ran on the replaced primary
-					if strings.Contains(answer, "COMPLETE i-") {
-						served++
-					}
-				}
-				c.close()
-			}
+			w.awaitServedElsewhere(w.hosts[2], old)
 		})
 	}
 }
--- a/internal/entry/restored_store_test.go
+++ b/internal/entry/restored_store_test.go
@@ -109,7 +109,9 @@
 			w.loseWrites()
 			w.Restore(store)
 			w.restartHost("host-z", "gondar")
-			w.awaitServedElsewhere(old)
+			for _, h := range w.hosts {
+				w.awaitServedElsewhere(h, old)
+			}
 			w.awaitLeadership(w.Groups[0].Primary())
 			is.True(w.Groups[0].Primary() != old)
 		})
@@ -136,32 +138,32 @@
 	w.Restore(store)
 	w.restartHost("host-0", "gondar")
 	w.restartHost("host-1", "woldia")
-	w.awaitServedElsewhere(old)
+	for _, h := range w.hosts {
+		w.awaitServedElsewhere(h, old)
+	}
 	is.True(w.Groups[0].Primary() != old)
 }
 
-// awaitServedElsewhere waits until each host has served strict statements, and checks that none of
+// awaitServedElsewhere waits until a host has served strict statements, and checks that none of
 // them ran on an instance.
-func (w *testDeployment) awaitServedElsewhere(instance string) {
+func (w *testDeployment) awaitServedElsewhere(host entry.Settings, instance string) {
 	w.t.Helper()
 	is := is.New(w.t)
 	const enough = 20
-	for _, h := range w.hosts {
-		for served, end := 0, time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
-			is.True(time.Now().Before(end)) // host serves
-			c, hello := dial(h, "ledger-strict", "key-clerks")
-			if c == nil || hello != "READY I -" {
-				continue
-			}
-			for _, text := range []string{"READ item", "WRITE other v"} {
-				answer := c.query(text)
-				is.True(!strings.Contains(answer, "COMPLETE "+instance+".")) // ran on the instance
-				if strings.Contains(answer, "COMPLETE i-") {
-					served++
-				}
+	for served, end := 0, time.Now().Add(waitTimeout); served < enough; time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(end)) // host serves
+		c, hello := dial(host, "ledger-strict", "key-clerks")
+		if c == nil || hello != "READY I -" {
+			continue
+		}
+		for _, text := range []string{"READ item", "WRITE other v"} {
+			answer := c.query(text)
+			is.True(!strings.Contains(answer, "COMPLETE "+instance+".")) // ran on the instance
+			if strings.Contains(answer, "COMPLETE i-") {
+				served++
 			}
-			c.close()
 		}
+		c.close()
 	}
 }
 
